--- /dev/null
+++ b/Makefile
@@ -0,0 +1,34 @@
+# Two commands do everything: `make demo` runs the whole path, `make test` passes the tests.
+LINT_VERSION := v2.15.0
+LINT := bin/golangci-lint-$(LINT_VERSION)
+MODULES := . cmd/azuretiller cmd/standin cmd/tillerctl
+
+.PHONY: demo test build lint format generate check-generated bench capacity soak
+
+demo: build
+	bin/standin demo $(DEMO)
+
+build:
+	@mkdir -p bin
+	go build -o bin/ ./cmd/azuretiller ./cmd/standin ./cmd/tillerctl
+
+test:
+	@for m in $(MODULES); do (cd $$m && go test -race ./...) || exit 1; done
+
+$(LINT):
+	@mkdir -p bin
+	GOWORK=off GOBIN=$(CURDIR)/bin go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION)
+	@mv bin/golangci-lint $(LINT)
+
+lint: $(LINT)
+	@for m in $(MODULES); do (cd $$m && $(CURDIR)/$(LINT) run ./...) || exit 1; done
+
+format: $(LINT)
+	@for m in $(MODULES); do (cd $$m && $(CURDIR)/$(LINT) fmt ./...) || exit 1; done
+
+generate:
+	cd tools && GOWORK=off go run ./protogen ../proto ..
+	go run ./cmd/standin docs docs
+
+check-generated: generate
+	git diff --exit-code -- pkg/journalpb pkg/peerpb docs
--- /dev/null
+++ b/cmd/azuretiller/main.go
@@ -0,0 +1,12 @@
+// Command azuretiller is the program that runs on every VM of the fleet.
+package main
+
+import (
+	"os"
+
+	"github.com/azuretiller/azuretiller/cmd/azuretiller/pkg/app"
+)
+
+func main() {
+	os.Exit(app.Run(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/cmd/standin/pkg/app/app.go
@@ -0,0 +1,148 @@
+package app
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/azuretiller/azuretiller/cmd/standin/pkg/backend"
+	"github.com/azuretiller/azuretiller/cmd/standin/pkg/demo"
+	"github.com/azuretiller/azuretiller/cmd/standin/pkg/docs"
+	"github.com/azuretiller/azuretiller/cmd/standin/pkg/logserver"
+	"github.com/azuretiller/azuretiller/pkg/memlog"
+)
+
+const headerTimeout = 10 * time.Second
+
+// Run carries out a command line and returns the exit code: 0, or 1 after an error or a broken promise.
+func Run(args []string, out, errOut io.Writer) int {
+	root := Command(out, errOut)
+	root.SetArgs(args)
+	if err := root.Execute(); err != nil {
+		_, _ = fmt.Fprintln(errOut, "standin:", err)
+		return 1
+	}
+	return 0
+}
+
+// Command returns the command line.
+func Command(out, errOut io.Writer) *cobra.Command {
+	root := &cobra.Command{
+		Use:           "standin",
+		Short:         "Stand-ins for the platform and the backend servers",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	root.SetOut(out)
+	root.SetErr(errOut)
+	root.AddCommand(platformCommand(), backendCommand(), demoCommand(errOut), docsCommand())
+	return root
+}
+
+func platformCommand() *cobra.Command {
+	var address, token string
+	var keep, rate int
+	var lag time.Duration
+	cmd := &cobra.Command{
+		Use:   "platform",
+		Short: "Serve the append-only log and the VM list",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return serve(cmd.Context(), address, logserver.New(memlog.New(keep), token, rate, lag))
+		},
+	}
+	cmd.Flags().StringVar(&address, "listen", "127.0.0.1:9000", "address to listen on")
+	cmd.Flags().StringVar(&token, "token", "token-of-the-platform", "token that clients must show")
+	cmd.Flags().IntVar(&keep, "keep", 10000, "number of records that are kept")
+	cmd.Flags().IntVar(&rate, "appends", 300, "appends a second that are taken")
+	cmd.Flags().DurationVar(&lag, "lag", 5*time.Second, "time by which the VM list lags")
+	return cmd
+}
+
+func backendCommand() *cobra.Command {
+	var address, name string
+	var slots int
+	var work, warm time.Duration
+	var faults backend.Faults
+	cmd := &cobra.Command{
+		Use:   "backend",
+		Short: "Serve as a backend server whose faults are set by flags or over HTTP",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			b := backend.New(name, slots, work, warm, uint64(time.Now().UnixNano()))
+			b.SetFaults(faults)
+			return serve(cmd.Context(), address, b)
+		},
+	}
+	f := cmd.Flags()
+	f.StringVar(&address, "listen", "127.0.0.1:9100", "address to listen on")
+	f.StringVar(&name, "name", "backend", "name in answers")
+	f.IntVar(&slots, "slots", 3, "requests that run at once")
+	f.DurationVar(&work, "work", 5*time.Millisecond, "time that a request takes")
+	f.DurationVar(&warm, "warm", time.Second, "work after which a cold server is warm")
+	f.Float64Var(&faults.Fail, "fail", 0, "share of real work that fails")
+	f.Float64Var(&faults.Slow, "slow", 0, "factor by which real work is slower")
+	f.StringVar(&faults.Route, "route", "", "path prefix that --fail and --slow are limited to")
+	f.IntVar(&faults.Flap, "flap", 0, "milliseconds after which faults go off and on by turns")
+	f.BoolVar(&faults.Unwell, "unwell", false, "fail the health endpoint")
+	f.BoolVar(&faults.Shed, "shed", false, "refuse all work and say that it did not run")
+	f.BoolVar(&faults.Drain, "drain", false, "say that the server is leaving")
+	f.BoolVar(&faults.Truncate, "truncate", false, "end answers half-way")
+	f.BoolVar(&faults.Cross, "cross", false, "give answers to other requests")
+	f.IntVar(&faults.Late, "late", 0, "milliseconds by which answers are late")
+	f.BoolVar(&faults.Reset, "reset", false, "break connections off after the work")
+	f.StringVar(&faults.Poison, "poison", "", "text in a path that crashes the server")
+	return cmd
+}
+
+func demoCommand(errOut io.Writer) *cobra.Command {
+	var options demo.Options
+	cmd := &cobra.Command{
+		Use:   "demo",
+		Short: "Run the whole path in one process and report; exits 1 when a promise was broken",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return demo.New(options, cmd.OutOrStdout(), errOut).Run(cmd.Context())
+		},
+	}
+	cmd.Flags().BoolVar(&options.Kill, "kill", false, "kill a VM while work goes on")
+	cmd.Flags().StringVar(&options.Level, "log", "error", "level of the VMs' logs: debug, info, warn or error")
+	return cmd
+}
+
+func docsCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:    "docs FOLDER",
+		Short:  "Write the pages that are generated from the code",
+		Args:   cobra.ExactArgs(1),
+		Hidden: true,
+		RunE: func(_ *cobra.Command, args []string) error {
+			return docs.Write(args[0])
+		},
+	}
+}
+
+func serve(ctx context.Context, address string, handler http.Handler) error {
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	var config net.ListenConfig
+	l, err := config.Listen(ctx, "tcp", address)
+	if err != nil {
+		return errors.Wrap(err, "open socket")
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+	unhook := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer unhook()
+	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return errors.Wrap(err, "serve")
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/standin/pkg/demo/site.go
@@ -0,0 +1,274 @@
+package demo
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/azuretiller/azuretiller"
+	"github.com/azuretiller/azuretiller/cmd/standin/pkg/backend"
+	"github.com/azuretiller/azuretiller/cmd/standin/pkg/logserver"
+	"github.com/azuretiller/azuretiller/pkg/logging"
+	"github.com/azuretiller/azuretiller/pkg/memlog"
+	"github.com/azuretiller/azuretiller/pkg/operator"
+	"github.com/azuretiller/azuretiller/pkg/operatorclient"
+	"github.com/azuretiller/azuretiller/pkg/settings"
+	"github.com/azuretiller/azuretiller/pkg/vmprocess"
+)
+
+const (
+	platformToken   = "token-of-the-platform"
+	operatorToken   = "token-of-the-operators"
+	fleetSecret     = "secret-of-the-whole-fleet"
+	appendsASecond  = 300
+	listLag         = 2 * time.Second
+	logKeeps        = 4000
+	workTime        = 5 * time.Millisecond
+	warmTime        = 300 * time.Millisecond
+	slots           = 3
+	demoDrain       = 3 * time.Second
+	readyTime       = 15 * time.Second
+	vmsPerZone      = 2
+	serversPerZone  = 2
+	readHeaderLimit = 10 * time.Second
+)
+
+// site is everything that the demo runs.
+type site struct {
+	log      *memlog.Log
+	platform string
+	vms      []*vm
+	servers  map[string][]*server
+	errors   io.Writer
+	level    string
+	closers  []func()
+	group    sync.WaitGroup
+}
+
+type vm struct {
+	settings settings.Settings
+	process  *vmprocess.Process
+	stop     context.CancelFunc
+	client   *operatorclient.Client
+	dead     bool
+}
+
+type server struct {
+	address string
+	zone    string
+	backend *backend.Server
+}
+
+func zones() []string { return []string{"a", "b", "c", "d"} }
+
+func services() []string { return []string{"orders", "packs"} }
+
+func newSite(errOut io.Writer, level string) *site {
+	return &site{log: memlog.New(logKeeps), servers: map[string][]*server{}, errors: errOut, level: level}
+}
+
+// listen serves a handler on a free port of the loopback interface.
+func (s *site) listen(ctx context.Context, handler http.Handler) (string, error) {
+	var config net.ListenConfig
+	l, err := config.Listen(ctx, "tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", errors.Wrap(err, "open socket")
+	}
+	h := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderLimit}
+	s.group.Go(func() { _ = h.Serve(l) })
+	s.closers = append(s.closers, func() { _ = h.Close() })
+	return l.Addr().String(), nil
+}
+
+func (s *site) startPlatform(ctx context.Context) error {
+	address, err := s.listen(ctx, logserver.New(s.log, platformToken, appendsASecond, listLag))
+	s.platform = "http://" + address
+	return err
+}
+
+func (s *site) startServers(ctx context.Context, secrets []string) error {
+	seed := uint64(1)
+	for _, service := range services() {
+		for _, zone := range zones() {
+			for i := range serversPerZone {
+				b := backend.New(fmt.Sprintf("%s-%s-%d", service, zone, i), slots, workTime, warmTime, seed)
+				b.Watch(secrets)
+				seed++
+				address, err := s.listen(ctx, b)
+				if err != nil {
+					return err
+				}
+				s.servers[service] = append(s.servers[service], &server{address: address, zone: zone, backend: b})
+			}
+		}
+	}
+	return nil
+}
+
+func freeAddress(ctx context.Context) (string, error) {
+	var config net.ListenConfig
+	l, err := config.Listen(ctx, "tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", errors.Wrap(err, "find a free port")
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String(), nil
+}
+
+func (s *site) startVMs(ctx context.Context) error {
+	for _, zone := range zones() {
+		for i := range vmsPerZone {
+			conf := settings.Default()
+			conf.VM = azuretiller.VM{ID: azuretiller.VMID(fmt.Sprintf("vm-%s%d", zone, i)), Zone: azuretiller.Zone(zone)}
+			for _, into := range []*string{&conf.VM.Caller, &conf.VM.Peer, &conf.VM.Operator} {
+				address, err := freeAddress(ctx)
+				if err != nil {
+					return err
+				}
+				*into = address
+			}
+			conf.Platform = settings.Platform{URL: s.platform, Token: platformToken}
+			conf.Secret = []byte(fleetSecret)
+			conf.Token = operatorToken
+			conf.Drain = demoDrain
+			if err := s.startVM(ctx, conf); err != nil {
+				return err
+			}
+		}
+	}
+	return s.awaitReady(ctx)
+}
+
+func (s *site) startVM(ctx context.Context, conf settings.Settings) error {
+	logger, err := logging.New(s.errors, s.level)
+	if err != nil {
+		return err
+	}
+	p, err := vmprocess.New(ctx, conf, logger)
+	if err != nil {
+		return err
+	}
+	ctx, stop := context.WithCancel(ctx)
+	v := &vm{settings: conf, process: p, stop: stop, client: operatorclient.New(conf.VM.Operator, operatorToken)}
+	s.vms = append(s.vms, v)
+	s.group.Go(func() { _ = p.Run(ctx) })
+	return nil
+}
+
+// awaitReady waits until every VM sees the whole roster live.
+func (s *site) awaitReady(ctx context.Context) error {
+	deadline := time.Now().Add(readyTime)
+	for time.Now().Before(deadline) && ctx.Err() == nil {
+		ready := 0
+		for _, v := range s.vms {
+			snap := v.process.Node().Snapshot()
+			if len(snap.Live) == len(s.vms) && snap.Current(time.Now()) {
+				ready++
+			}
+		}
+		if ready == len(s.vms) {
+			return nil
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return errors.New("the VMs did not find each other in time")
+}
+
+// operator returns a VM that is alive, to send edits to.
+func (s *site) operator() *operatorclient.Client {
+	for _, v := range s.vms {
+		if !v.dead {
+			return v.client
+		}
+	}
+	return s.vms[0].client
+}
+
+// edit applies changes on the newest revision and returns how long it took to be accepted.
+func (s *site) edit(ctx context.Context, comment string, changes ...operator.Change) (operator.Verdict, error) {
+	c := s.operator()
+	t, err := c.Tree(ctx, "/zones")
+	if err != nil {
+		return operator.Verdict{}, err
+	}
+	v, known, err := c.Edit(ctx, operator.Edit{Base: t.Revision, Operator: "demo", Comment: comment, Changes: changes})
+	switch {
+	case err != nil:
+		return v, err
+	case !known:
+		return v, errors.Newf("%s: undetermined", comment)
+	case !v.Accepted:
+		return v, errors.Newf("%s: not accepted: %s", comment, v.Reason)
+	}
+	return v, nil
+}
+
+// awaitRevision waits until every live VM has an edit in force.
+func (s *site) awaitRevision(revision uint64) {
+	start := time.Now()
+	for time.Since(start) < readyTime {
+		behind := false
+		for _, v := range s.vms {
+			if !v.dead && uint64(v.process.Node().Snapshot().Revision) < revision {
+				behind = true
+			}
+		}
+		if !behind {
+			break
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// kill ends a VM as a crash would.
+func (s *site) kill(v *vm) {
+	v.dead = true
+	v.process.Node().Kill()
+}
+
+func (s *site) close() {
+	for _, v := range s.vms {
+		v.process.Node().Kill()
+		v.stop()
+	}
+	for _, c := range s.closers {
+		c()
+	}
+	s.group.Wait()
+}
+
+func (s *site) callerAddresses() []string {
+	var out []string
+	for _, v := range s.vms {
+		out = append(out, v.settings.VM.Caller)
+	}
+	return out
+}
+
+// ejected reports whether the home of a server's pool has put it out.
+func (s *site) ejected(ctx context.Context, address string) bool {
+	for _, v := range s.vms {
+		if v.dead {
+			continue
+		}
+		for _, row := range v.process.Node().Dump(ctx).Servers {
+			if row.Server == address && row.Phase == "ejected" {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func hashOf(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
--- /dev/null
+++ b/cmd/standin/pkg/logserver/doc.go
@@ -0,0 +1,2 @@
+// Package logserver stands in for the platform: its append-only log and its VM list.
+package logserver
--- /dev/null
+++ b/cmd/tillerctl/main.go
@@ -0,0 +1,12 @@
+// Command tillerctl is the operators' program.
+package main
+
+import (
+	"os"
+
+	"github.com/azuretiller/azuretiller/cmd/tillerctl/pkg/app"
+)
+
+func main() {
+	os.Exit(app.Run(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/cmd/tillerctl/pkg/app/app.go
@@ -0,0 +1,177 @@
+package app
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/azuretiller/azuretiller/pkg/operator"
+	"github.com/azuretiller/azuretiller/pkg/operatorclient"
+)
+
+// The exit codes of the program.
+const (
+	exitOK           = 0
+	exitFailed       = 1
+	exitUsage        = 2
+	exitRejected     = 3
+	exitUndetermined = 4
+)
+
+var (
+	errRejected     = errors.New("the edit was not accepted")
+	errUndetermined = errors.New("it is not known yet what became of the edit")
+	errUsage        = errors.New("wrong use")
+)
+
+// tool holds what all commands share.
+type tool struct {
+	out       io.Writer
+	address   string
+	tokenFile string
+	asJSON    bool
+	operator  string
+	comment   string
+}
+
+// Run carries out a command line and returns the exit code.
+func Run(args []string, out, errOut io.Writer) int {
+	root := Command(out, errOut)
+	root.SetArgs(args)
+	err := root.Execute()
+	if err != nil {
+		_, _ = fmt.Fprintln(errOut, "tillerctl:", err)
+	}
+	switch {
+	case err == nil:
+		return exitOK
+	case errors.Is(err, errRejected):
+		return exitRejected
+	case errors.Is(err, errUndetermined):
+		return exitUndetermined
+	case errors.Is(err, errUsage):
+		return exitUsage
+	default:
+		return exitFailed
+	}
+}
+
+// Command returns the command line.
+func Command(out, errOut io.Writer) *cobra.Command {
+	t := &tool{out: out}
+	root := &cobra.Command{
+		Use:   "tillerctl",
+		Short: "Operate a fleet: settings tree, keys, zones, VMs, backend servers",
+		Long: "Operate a fleet: settings tree, keys, zones, VMs, backend servers.\n\n" +
+			"Exit codes: 0 done, 1 failed, 2 wrong use, 3 the edit was not accepted, 4 not known yet what became of the edit.",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	root.SetOut(out)
+	root.SetErr(errOut)
+	f := root.PersistentFlags()
+	f.StringVar(&t.address, "vm", envOr("TILLERCTL_VM", "127.0.0.1:7300"), "operators' address of any VM")
+	f.StringVar(&t.tokenFile, "token-file", os.Getenv("TILLERCTL_TOKEN_FILE"), "file with the operators' token")
+	f.BoolVar(&t.asJSON, "json", false, "print JSON for scripts")
+	f.StringVar(&t.operator, "operator", envOr("USER", "operator"), "name that stands in the history")
+	f.StringVar(&t.comment, "comment", "", "reason that stands in the history")
+	root.AddCommand(t.treeCommand(), t.teamCommand(), t.keyCommand(), t.zoneCommand(), t.vmCommand(), t.dumpCommand(), t.serviceCommand(), t.codeCommand())
+	return root
+}
+
+func envOr(name, fallback string) string {
+	if v := os.Getenv(name); v != "" {
+		return v
+	}
+	return fallback
+}
+
+func (t *tool) client() (*operatorclient.Client, error) {
+	token, err := t.token()
+	if err != nil {
+		return nil, err
+	}
+	return operatorclient.New(t.address, token), nil
+}
+
+func (t *tool) token() (string, error) {
+	if t.tokenFile == "" {
+		return "", errors.Wrap(errUsage, "give --token-file or TILLERCTL_TOKEN_FILE")
+	}
+	data, err := os.ReadFile(t.tokenFile)
+	if err != nil {
+		return "", errors.Wrap(err, "read token")
+	}
+	return strings.TrimSpace(string(data)), nil
+}
+
+// show prints a value as JSON, or as a table when that is not asked for.
+func (t *tool) show(value any, header string, rows func(add func(columns ...any))) error {
+	if t.asJSON {
+		data, err := json.MarshalIndent(value, "", "  ")
+		if err != nil {
+			return errors.Wrap(err, "encode answer")
+		}
+		_, err = fmt.Fprintln(t.out, string(data))
+		return err
+	}
+	w := tabwriter.NewWriter(t.out, 0, 4, 2, ' ', 0)
+	if header != "" {
+		_, _ = fmt.Fprintln(w, strings.ReplaceAll(header, " ", "\t"))
+	}
+	rows(func(columns ...any) {
+		texts := make([]string, 0, len(columns))
+		for _, c := range columns {
+			texts = append(texts, fmt.Sprint(c))
+		}
+		_, _ = fmt.Fprintln(w, strings.Join(texts, "\t"))
+	})
+	return w.Flush()
+}
+
+// propose sends an edit and prints its verdict.
+func (t *tool) propose(cmd *cobra.Command, base uint64, changes []operator.Change) error {
+	c, err := t.client()
+	if err != nil {
+		return err
+	}
+	if base == 0 {
+		current, err := c.Tree(cmd.Context(), "/zones")
+		if err != nil {
+			return err
+		}
+		base = current.Revision
+	}
+	v, known, err := c.Edit(cmd.Context(), operator.Edit{Base: base, Operator: t.operator, Comment: t.comment, Changes: changes})
+	if err != nil {
+		return err
+	}
+	if err := t.show(v, "", func(add func(...any)) { add(verdictText(v, known)) }); err != nil {
+		return err
+	}
+	switch {
+	case !known:
+		return errUndetermined
+	case !v.Accepted:
+		return errRejected
+	default:
+		return nil
+	}
+}
+
+func verdictText(v operator.Verdict, known bool) string {
+	switch {
+	case !known:
+		return fmt.Sprintf("edit %s: %s", v.ID, v.Reason)
+	case v.Accepted:
+		return fmt.Sprintf("edit %s: accepted as revision %d", v.ID, v.Offset)
+	default:
+		return fmt.Sprintf("edit %s: not accepted: %s", v.ID, v.Reason)
+	}
+}
--- /dev/null
+++ b/cmd/tillerctl/pkg/app/doc.go
@@ -0,0 +1,2 @@
+// Package app is the command line of tillerctl.
+package app
--- /dev/null
+++ b/pkg/bucket/doc.go
@@ -0,0 +1,2 @@
+// Package bucket holds the tokens of one share of a team's rate at the VM that is responsible for it.
+package bucket
--- /dev/null
+++ b/pkg/budget/doc.go
@@ -0,0 +1,2 @@
+// Package budget bounds retries to a share of the requests.
+package budget
--- /dev/null
+++ b/pkg/common/doc.go
@@ -0,0 +1,2 @@
+// Package common holds what most parts of a process need.
+package common
--- /dev/null
+++ b/pkg/config/compile.go
@@ -0,0 +1,283 @@
+package config
+
+import (
+	"encoding/json"
+	"net"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/azuretiller/azuretiller"
+	"github.com/azuretiller/azuretiller/pkg/field"
+	"github.com/azuretiller/azuretiller/pkg/tree"
+)
+
+// The names of the branches that have a meaning of their own.
+const (
+	teamsBranch    = "teams"
+	servicesBranch = "services"
+	zonesBranch    = "zones"
+	keysBranch     = "keys"
+	routesBranch   = "routes"
+	serversBranch  = "servers"
+)
+
+const keyHashLength = 64
+
+// Compile validates a tree as a whole; the error names the first branch and field that is wrong.
+func Compile(t *tree.Tree) (*Config, error) {
+	c := &compiler{
+		tree:    t,
+		parents: map[string]bool{},
+		config: &Config{
+			Teams:    map[azuretiller.TeamID]Team{},
+			Keys:     map[azuretiller.KeyHash]azuretiller.TeamID{},
+			Services: map[azuretiller.ServiceID]Service{},
+			Zones:    map[azuretiller.Zone]Zone{},
+			routes:   map[string][]Route{},
+		},
+	}
+	if err := c.run(); err != nil {
+		return nil, err
+	}
+	return c.config, nil
+}
+
+type compiler struct {
+	tree   *tree.Tree
+	config *Config
+	// parents has the branches below /teams that have child branches other than their keys.
+	parents map[string]bool
+}
+
+func (c *compiler) run() error {
+	paths := c.tree.Paths()
+	for _, path := range paths {
+		if tree.Base(path) != keysBranch {
+			c.parents[tree.Parent(path)] = true
+		}
+	}
+	for _, path := range paths {
+		if err := c.branch(path); err != nil {
+			return errors.Wrapf(err, "branch %s", path)
+		}
+	}
+	return c.checkServers()
+}
+
+func (c *compiler) branch(path string) error {
+	if path == "/" {
+		return nil
+	}
+	elements := strings.Split(path[1:], "/")
+	parent := ""
+	if len(elements) > 1 {
+		parent = elements[len(elements)-2]
+	}
+	switch elements[0] {
+	case teamsBranch:
+		return c.teamBranch(path, elements, parent)
+	case servicesBranch:
+		return c.serviceBranch(path, elements, parent)
+	case zonesBranch:
+		return c.zoneBranch(path, elements)
+	default:
+		return errors.Newf("the first element must be %s, %s or %s", teamsBranch, servicesBranch, zonesBranch)
+	}
+}
+
+func (c *compiler) teamBranch(path string, elements []string, parent string) error {
+	last := elements[len(elements)-1]
+	switch {
+	case len(elements) == 1 || last == keysBranch:
+		return nil
+	case parent == keysBranch:
+		return c.key(path, last)
+	case c.parents[path]:
+		return nil
+	}
+	id := azuretiller.TeamID(last)
+	if _, ok := c.config.Teams[id]; ok {
+		return errors.Newf("a second team is named %s", id)
+	}
+	c.config.Teams[id] = Team{
+		ID:     id,
+		Rate:   c.tokens(path, field.Rate),
+		Burst:  c.tokens(path, field.Burst),
+		Weight: c.count(path, field.Weight),
+		Allow:  c.words(path, field.Allow),
+	}
+	return nil
+}
+
+func (c *compiler) key(path, last string) error {
+	if len(last) != keyHashLength || strings.Trim(last, "0123456789abcdef") != "" {
+		return errors.New("a key is named by the 64 lower-case hexadecimal digits of its SHA-256")
+	}
+	owner := tree.Parent(tree.Parent(path))
+	if c.parents[owner] {
+		return errors.New("keys belong to a team, not to a group of teams")
+	}
+	hash := azuretiller.KeyHash(last)
+	if other, ok := c.config.Keys[hash]; ok {
+		return errors.Newf("the key is granted to team %s as well", other)
+	}
+	c.config.Keys[hash] = azuretiller.TeamID(tree.Base(owner))
+	return nil
+}
+
+func (c *compiler) zoneBranch(path string, elements []string) error {
+	if len(elements) == 1 {
+		return nil
+	}
+	if len(elements) > 2 {
+		return errors.New("a zone has no branches below it")
+	}
+	c.config.Zones[azuretiller.Zone(elements[1])] = Zone{Out: c.bool(path, field.Out)}
+	return nil
+}
+
+func (c *compiler) serviceBranch(path string, elements []string, parent string) error {
+	last := elements[len(elements)-1]
+	switch {
+	case len(elements) == 1 || last == routesBranch || last == serversBranch:
+		return nil
+	case parent == routesBranch:
+		return c.route(path, last)
+	case parent == serversBranch:
+		return c.server(path, last)
+	case !c.tree.Has(path+"/"+routesBranch) && !c.tree.Has(path+"/"+serversBranch):
+		return nil
+	}
+	id := azuretiller.ServiceID(last)
+	if _, ok := c.config.Services[id]; ok {
+		return errors.Newf("a second service is named %s", id)
+	}
+	c.config.Services[id] = Service{
+		ID:     id,
+		Slots:  c.count(path, field.Slots),
+		Queue:  c.count(path, field.Queue),
+		Floor:  c.number(path, field.Floor),
+		Budget: c.number(path, field.Budget),
+		Warmup: c.span(path, field.Warmup),
+		Probe:  c.text(path, field.Probe),
+	}
+	return nil
+}
+
+func (c *compiler) route(path, last string) error {
+	service := azuretiller.ServiceID(tree.Base(tree.Parent(tree.Parent(path))))
+	r := Route{
+		ID:         azuretiller.RouteID(string(service) + "/" + last),
+		Service:    service,
+		Prefix:     c.text(path, field.Prefix),
+		Methods:    c.words(path, field.Methods),
+		Open:       c.bool(path, field.Open),
+		Idempotent: c.text(path, field.Idempotent),
+		Timeout:    c.span(path, field.Timeout),
+		Retries:    c.count(path, field.Retries),
+		Body:       int64(c.count(path, field.Body)),
+	}
+	if !strings.HasPrefix(r.Prefix, "/") {
+		return errors.Newf("field %s: must begin with /, not %q", field.Prefix, r.Prefix)
+	}
+	if !slices.Contains([]string{"yes", "no", "method"}, r.Idempotent) {
+		return errors.Newf(`field %s: must be "yes", "no" or "method", not %q`, field.Idempotent, r.Idempotent)
+	}
+	if r.Timeout <= 0 {
+		return errors.Newf("field %s: must be longer than 0s", field.Timeout)
+	}
+	for _, other := range c.config.routes[r.Prefix] {
+		if overlap(other.Methods, r.Methods) {
+			return errors.Newf("route %s serves the same prefix and method", other.ID)
+		}
+	}
+	c.config.routes[r.Prefix] = append(c.config.routes[r.Prefix], r)
+	return nil
+}
+
+func overlap(a, b []string) bool {
+	return slices.ContainsFunc(a, func(m string) bool { return m == "*" || listed(b, m) }) || slices.Contains(b, "*")
+}
+
+func (c *compiler) server(path, last string) error {
+	if _, _, err := net.SplitHostPort(last); err != nil {
+		return errors.Newf("a backend server is named host:port, not %q", last)
+	}
+	id := azuretiller.ServiceID(tree.Base(tree.Parent(tree.Parent(path))))
+	zone := azuretiller.Zone(c.text(path, field.Zone))
+	if zone == "" {
+		return errors.Newf("field %s: a backend server needs its zone", field.Zone)
+	}
+	service := c.config.Services[id]
+	service.Servers = append(service.Servers, Server{
+		ID:    azuretiller.ServerID(last),
+		Zone:  zone,
+		Drain: c.bool(path, field.Drain),
+	})
+	c.config.Services[id] = service
+	return nil
+}
+
+func (c *compiler) checkServers() error {
+	owners := map[azuretiller.ServerID]azuretiller.ServiceID{}
+	for _, service := range c.config.Services {
+		for _, server := range service.Servers {
+			if other, ok := owners[server.ID]; ok {
+				return errors.Newf("backend server %s belongs to the services %s and %s", server.ID, min(other, service.ID), max(other, service.ID))
+			}
+			owners[server.ID] = service.ID
+		}
+	}
+	return nil
+}
+
+func (c *compiler) read(path, name string, into any) {
+	raw, _ := c.tree.Lookup(path, name)
+	// Values were checked when they were set, so a failure leaves the zero value only for fields unknown to the table.
+	_ = json.Unmarshal([]byte(raw), into)
+}
+
+func (c *compiler) text(path, name string) string {
+	var v string
+	c.read(path, name, &v)
+	return v
+}
+
+func (c *compiler) words(path, name string) []string {
+	var v []string
+	c.read(path, name, &v)
+	return v
+}
+
+func (c *compiler) bool(path, name string) bool {
+	var v bool
+	c.read(path, name, &v)
+	return v
+}
+
+func (c *compiler) count(path, name string) int {
+	var v int
+	c.read(path, name, &v)
+	return v
+}
+
+func (c *compiler) number(path, name string) float64 {
+	var v float64
+	c.read(path, name, &v)
+	return v
+}
+
+func (c *compiler) tokens(path, name string) azuretiller.Millitokens {
+	return azuretiller.Millitokens(c.number(path, name) * float64(azuretiller.TokenCost))
+}
+
+func (c *compiler) span(path, name string) time.Duration {
+	d, err := time.ParseDuration(c.text(path, name))
+	if err != nil {
+		return 0
+	}
+	return d
+}
--- /dev/null
+++ b/pkg/config/config.go
@@ -0,0 +1,117 @@
+package config
+
+import (
+	"strings"
+	"time"
+
+	"github.com/azuretiller/azuretiller"
+)
+
+// Config is the settings tree compiled for use; it is not changed after it is built.
+type Config struct {
+	Teams    map[azuretiller.TeamID]Team
+	Keys     map[azuretiller.KeyHash]azuretiller.TeamID
+	Services map[azuretiller.ServiceID]Service
+	Zones    map[azuretiller.Zone]Zone
+	// routes maps each prefix to its routes; several share one when they serve different methods.
+	routes map[string][]Route
+}
+
+// Team is a customer with its rate.
+type Team struct {
+	ID azuretiller.TeamID
+	// Rate is in millitokens a second.
+	Rate   azuretiller.Millitokens
+	Burst  azuretiller.Millitokens
+	Weight int
+	Allow  []string
+}
+
+// Zone is an availability zone.
+type Zone struct {
+	Out bool
+}
+
+// Service is a group of backend servers with the rules for them.
+type Service struct {
+	ID      azuretiller.ServiceID
+	Slots   int
+	Queue   int
+	Floor   float64
+	Budget  float64
+	Warmup  time.Duration
+	Probe   string
+	Servers []Server
+}
+
+// Server is one backend server.
+type Server struct {
+	ID    azuretiller.ServerID
+	Zone  azuretiller.Zone
+	Drain bool
+}
+
+// Route maps requests to a service and says how to treat them.
+type Route struct {
+	ID         azuretiller.RouteID
+	Service    azuretiller.ServiceID
+	Prefix     string
+	Methods    []string
+	Open       bool
+	Idempotent string
+	Timeout    time.Duration
+	Retries    int
+	Body       int64
+}
+
+// Match returns the route with the longest prefix that serves a path and method.
+func (c *Config) Match(method, path string) (Route, bool) {
+	for p := path; ; {
+		for _, r := range c.routes[p] {
+			if listed(r.Methods, method) {
+				return r, true
+			}
+		}
+		if p == "/" || p == "" {
+			return Route{}, false
+		}
+		p = shorter(p)
+	}
+}
+
+// shorter drops the last element of a path prefix; "/a/" comes before "/a".
+func shorter(p string) string {
+	if strings.HasSuffix(p, "/") {
+		return strings.TrimSuffix(p, "/")
+	}
+	return p[:strings.LastIndexByte(p, '/')+1]
+}
+
+// MayUse reports whether the team may use a service.
+func (t Team) MayUse(service azuretiller.ServiceID) bool {
+	return listed(t.Allow, string(service))
+}
+
+// IsIdempotent reports whether a request of the route with a method may run more than once.
+func (r Route) IsIdempotent(method string) bool {
+	switch r.Idempotent {
+	case "yes":
+		return true
+	case "no":
+		return false
+	}
+	switch method {
+	case "GET", "HEAD", "OPTIONS", "PUT", "DELETE":
+		return true
+	}
+	return false
+}
+
+func listed(list []string, name string) bool {
+	for _, item := range list {
+		if item == "*" || item == name {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/pkg/config/doc.go
@@ -0,0 +1,2 @@
+// Package config turns the settings tree into the typed values that traffic reads.
+package config
--- /dev/null
+++ b/pkg/control/doc.go
@@ -0,0 +1,2 @@
+// Package control is the reducer over all control events of one VM; what it wants done it returns as effects.
+package control
--- /dev/null
+++ b/pkg/crash/doc.go
@@ -0,0 +1,2 @@
+// Package crash holds back requests that crashed several backend servers.
+package crash
--- /dev/null
+++ b/pkg/dispatch/doc.go
@@ -0,0 +1,2 @@
+// Package dispatch sends requests to backend servers.
+package dispatch
--- /dev/null
+++ b/pkg/entry/answer.go
@@ -0,0 +1,129 @@
+package entry
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/azuretiller/azuretiller"
+	"github.com/azuretiller/azuretiller/pkg/exchange"
+	"github.com/azuretiller/azuretiller/pkg/headers"
+	"github.com/azuretiller/azuretiller/pkg/once"
+	"github.com/azuretiller/azuretiller/pkg/wire"
+)
+
+// stall is how long a caller may take for one part of an answer or of a body.
+const stall = 30 * time.Second
+
+// refuse answers with a result code of the fleet.
+func (c *call) refuse(code azuretiller.Code, wait time.Duration, detail string) {
+	info, ok := azuretiller.Describe(code)
+	if !ok {
+		info, _ = azuretiller.Describe(azuretiller.CodeServerFailed)
+	}
+	c.code = info.Code
+	c.status = info.Status
+	h := c.writer.Header()
+	c.mark(h)
+	if wait > 0 {
+		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(wait.Seconds()))))
+	}
+	h.Set("Content-Type", "application/json")
+	body := refusal{Code: int(info.Code), Name: info.Name, Outcome: info.Outcome.String(), Meaning: info.Meaning, Detail: detail, Request: c.trace}
+	data, err := json.Marshal(body)
+	if err != nil {
+		data = []byte("{}")
+	}
+	h.Set("Content-Length", strconv.Itoa(len(data)))
+	c.writer.WriteHeader(info.Status)
+	_, _ = c.writer.Write(data)
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// refusal is the JSON body of a refusal.
+type refusal struct {
+	Code    int    `json:"code"`
+	Name    string `json:"name"`
+	Outcome string `json:"outcome"`
+	Meaning string `json:"meaning"`
+	Detail  string `json:"detail,omitempty"`
+	Request string `json:"request"`
+}
+
+func (c *call) mark(h http.Header) {
+	h.Set(headers.Code, strconv.Itoa(int(c.code)))
+	h.Set(headers.Outcome, c.code.Outcome().String())
+	h.Set(headers.Trace, c.trace)
+}
+
+func (c *call) writeHead(r exchange.Response) {
+	c.code = r.Code
+	c.status = r.Status
+	h := c.writer.Header()
+	for name, values := range r.Headers {
+		h[name] = values
+	}
+	c.mark(h)
+	h.Set("Server-Timing", fmt.Sprintf("server;dur=%.3f, queue;dur=%.3f", milliseconds(c.service), milliseconds(c.queued)))
+	if r.Length >= 0 {
+		h.Set("Content-Length", strconv.FormatInt(r.Length, 10))
+	}
+	c.writer.WriteHeader(r.Status)
+}
+
+// pass hands the body on while it arrives and returns it when it is small enough to keep. A body that is not whole
+// ends with an aborted connection, so that it cannot be taken for whole.
+func (c *call) pass(r exchange.Response, stream *wire.Stream) (kept []byte, small bool) {
+	c.writeHead(r)
+	controller := http.NewResponseController(c.writer)
+	small = true
+	for {
+		frame, err := stream.ReadFrame()
+		if err != nil || frame.End && frame.Code != azuretiller.CodeOK {
+			c.code = azuretiller.CodeTruncated
+			panic(http.ErrAbortHandler)
+		}
+		if len(frame.Data) > 0 {
+			_ = controller.SetWriteDeadline(time.Now().Add(stall))
+			if _, err := c.writer.Write(frame.Data); err != nil {
+				c.code = azuretiller.CodeCancelled
+				panic(http.ErrAbortHandler)
+			}
+			if small = small && len(kept)+len(frame.Data) <= once.LargestAnswer; small {
+				kept = append(kept, frame.Data...)
+			}
+			if r.Length < 0 {
+				_ = controller.Flush()
+			}
+		}
+		if frame.End {
+			for name, values := range frame.Trailers {
+				c.writer.Header()[http.TrailerPrefix+name] = values
+			}
+			return kept, small
+		}
+	}
+}
+
+// replayAnswer gives the kept answer of an earlier request with the same id.
+func (c *call) replayAnswer(a once.Answer) {
+	if !a.Kept {
+		c.refuse(azuretiller.CodeAnswerNotKept, 0, "")
+		return
+	}
+	if a.Code != azuretiller.CodeOK {
+		c.refuse(a.Code, 0, "")
+		return
+	}
+	c.writeHead(exchange.Response{
+		Code:    azuretiller.CodeReplayed,
+		Status:  a.Status,
+		Headers: a.Headers,
+		Length:  int64(len(a.Body)),
+	})
+	_, _ = c.writer.Write(a.Body)
+}
--- /dev/null
+++ b/pkg/entry/fields.go
@@ -0,0 +1,23 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/apex/log"
+)
+
+func logFields(c *call, took time.Duration) log.Fields {
+	return log.Fields{
+		"request":  c.trace,
+		"team":     c.team.ID,
+		"route":    c.route.ID,
+		"pool":     c.pool.String(),
+		"server":   c.server,
+		"vm":       c.snapshot.Self.ID,
+		"code":     int(c.code),
+		"status":   c.status,
+		"attempts": c.attempts,
+		"took":     took,
+		"queued":   c.queued,
+	}
+}
--- /dev/null
+++ b/pkg/entry/handler.go
@@ -0,0 +1,170 @@
+package entry
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/azuretiller/azuretiller"
+	"github.com/azuretiller/azuretiller/pkg/common"
+	"github.com/azuretiller/azuretiller/pkg/config"
+	"github.com/azuretiller/azuretiller/pkg/headers"
+	"github.com/azuretiller/azuretiller/pkg/picker"
+	"github.com/azuretiller/azuretiller/pkg/ratelimit"
+	"github.com/azuretiller/azuretiller/pkg/snapshot"
+	"github.com/azuretiller/azuretiller/pkg/wire"
+)
+
+// AddressPath is where callers ask which addresses to use.
+const AddressPath = "/.azuretiller/addresses"
+
+// Opener opens a stream to the home of a pool, which may be this VM itself.
+type Opener interface {
+	// Open returns a stream; an error means that nothing was sent.
+	Open(ctx context.Context, to azuretiller.VM) (*wire.Stream, error)
+}
+
+// Handler is the callers' side of a VM.
+type Handler struct {
+	common  *common.Common
+	current func() *snapshot.Snapshot
+	limiter *ratelimit.Limiter
+	picker  *picker.Picker
+	opener  Opener
+	ids     IDStore
+	running atomic.Int64
+}
+
+// New returns a handler; current returns the newest snapshot.
+func New(c *common.Common, current func() *snapshot.Snapshot, limiter *ratelimit.Limiter, p *picker.Picker, opener Opener, ids IDStore) *Handler {
+	return &Handler{common: c, current: current, limiter: limiter, picker: p, opener: opener, ids: ids}
+}
+
+// Running returns the number of callers' requests that are being served.
+func (h *Handler) Running() int { return int(h.running.Load()) }
+
+// ServeHTTP serves one request of a caller.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == AddressPath {
+		h.serveAddresses(w, r)
+		return
+	}
+	h.running.Add(1)
+	defer h.running.Add(-1)
+	c := &call{
+		handler:  h,
+		writer:   w,
+		request:  r,
+		snapshot: h.current(),
+		started:  h.common.Clock.Now(),
+		trace:    trace(),
+	}
+	defer c.report()
+	if code, wait := c.authorize(); code != azuretiller.CodeOK {
+		c.refuse(code, wait, "")
+		return
+	}
+	c.serve(r.Context())
+}
+
+func trace() string {
+	id, err := uuid.NewV7()
+	if err != nil {
+		id = uuid.New()
+	}
+	return id.String()
+}
+
+// call is one request of a caller.
+type call struct {
+	handler  *Handler
+	writer   http.ResponseWriter
+	request  *http.Request
+	snapshot *snapshot.Snapshot
+	started  time.Time
+	trace    string
+	key      string
+	team     config.Team
+	route    config.Route
+	id       azuretiller.RequestID
+	// What the log line of the request says.
+	code     azuretiller.Code
+	status   int
+	server   azuretiller.ServerID
+	pool     azuretiller.PoolID
+	attempts int
+	service  time.Duration
+	queued   time.Duration
+}
+
+// authorize finds the route and the team and spends the team's rate.
+func (c *call) authorize() (azuretiller.Code, time.Duration) {
+	s := c.snapshot
+	now := c.handler.common.Clock.Now()
+	switch {
+	case !s.Ready:
+		return azuretiller.CodeNotReady, time.Second
+	case !s.Current(now):
+		return azuretiller.CodeStaleView, time.Second
+	}
+	route, ok := s.Config.Match(c.request.Method, c.request.URL.Path)
+	if !ok {
+		return azuretiller.CodeNoRoute, 0
+	}
+	c.route = route
+	c.key = headers.Key(c.request.Header)
+	if c.request.ContentLength > route.Body {
+		return azuretiller.CodeBodyTooLarge, 0
+	}
+	if route.Open {
+		c.team = config.Team{Weight: 1}
+		return azuretiller.CodeOK, 0
+	}
+	if code := c.identify(); code != azuretiller.CodeOK {
+		return code, 0
+	}
+	decision := c.handler.limiter.Spend(c.request.Context(), c.team, s)
+	return decision.Code, decision.RetryAfter
+}
+
+func (c *call) identify() azuretiller.Code {
+	if c.key == "" {
+		return azuretiller.CodeNoKey
+	}
+	sum := sha256.Sum256([]byte(c.key))
+	id, ok := c.snapshot.Config.Keys[azuretiller.KeyHash(hex.EncodeToString(sum[:]))]
+	if !ok {
+		return azuretiller.CodeUnknownKey
+	}
+	c.team = c.snapshot.Config.Teams[id]
+	if !c.team.MayUse(c.route.Service) {
+		return azuretiller.CodeRouteNotAllowed
+	}
+	return azuretiller.CodeOK
+}
+
+// timeout returns the route's time limit, or the caller's when that is shorter.
+func (c *call) timeout() time.Duration {
+	limit := c.route.Timeout
+	ms, err := strconv.ParseInt(c.request.Header.Get(headers.Timeout), 10, 64)
+	if err != nil || ms <= 0 {
+		return limit
+	}
+	return min(limit, time.Duration(ms)*time.Millisecond)
+}
+
+// report writes the log line and the metrics of the request.
+func (c *call) report() {
+	h := c.handler
+	took := h.common.Clock.Now().Sub(c.started)
+	scope := h.common.Metrics.Tagged(map[string]string{"code": strconv.Itoa(int(c.code))})
+	scope.Counter("requests").Inc(1)
+	scope.Timer("request_time").Record(took)
+	h.common.Log.WithFields(logFields(c, took)).Debug("request")
+}
--- /dev/null
+++ b/pkg/exchange/doc.go
@@ -0,0 +1,2 @@
+// Package exchange defines the request and the answer as they pass between VMs.
+package exchange
--- /dev/null
+++ b/pkg/fairqueue/doc.go
@@ -0,0 +1,2 @@
+// Package fairqueue orders waiting work so that each flow gets its share of slot time.
+package fairqueue
--- /dev/null
+++ b/pkg/field/field.go
@@ -0,0 +1,115 @@
+package field
+
+import (
+	"encoding/json"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Kind is the type of a field's value.
+type Kind int
+
+// The kinds of value, each with its JSON form.
+const (
+	// Bool is true or false.
+	Bool Kind = iota + 1
+	// Count is a whole number of at least the field's minimum.
+	Count
+	// Ratio is a number from 0 to 1.
+	Ratio
+	// Amount is a number that is not negative.
+	Amount
+	// Span is a duration string such as "250ms".
+	Span
+	// Text is a string.
+	Text
+	// Words is a list of strings.
+	Words
+)
+
+// Field describes one setting of the tree.
+type Field struct {
+	Name string
+	Kind Kind
+	// Default is the JSON text used when no branch on the path sets the field.
+	Default string
+	Minimum int
+	Help    string
+}
+
+const (
+	maxCount = 1 << 40
+	maxSpan  = 24 * time.Hour
+)
+
+// Check returns an error that says why raw, a JSON text, is no value of the field.
+func (f Field) Check(raw string) error {
+	switch f.Kind {
+	case Bool:
+		return decode(raw, new(bool), "true or false")
+	case Count:
+		return f.checkCount(raw)
+	case Ratio, Amount:
+		return f.checkNumber(raw)
+	case Span:
+		return f.checkSpan(raw)
+	case Text:
+		return decode(raw, new(string), "a string")
+	case Words:
+		return decode(raw, new([]string), "a list of strings")
+	default:
+		return errors.Newf("field %s has an unknown kind", f.Name)
+	}
+}
+
+func (f Field) checkCount(raw string) error {
+	var n int
+	if err := decode(raw, &n, "a whole number"); err != nil {
+		return err
+	}
+	if n < f.Minimum || n > maxCount {
+		return errors.Newf("must be at least %d and at most %d, not %d", f.Minimum, maxCount, n)
+	}
+	return nil
+}
+
+func (f Field) checkNumber(raw string) error {
+	var x float64
+	if err := decode(raw, &x, "a number"); err != nil {
+		return err
+	}
+	if x < 0 || x > maxCount {
+		return errors.Newf("must not be negative or above %d, not %s", maxCount, raw)
+	}
+	if f.Kind == Ratio && x > 1 {
+		return errors.Newf("must be from 0 to 1, not %s", raw)
+	}
+	return nil
+}
+
+func (f Field) checkSpan(raw string) error {
+	var text string
+	if err := decode(raw, &text, `a duration such as "250ms"`); err != nil {
+		return err
+	}
+	span, err := time.ParseDuration(text)
+	if err != nil {
+		return errors.Newf("must be a duration such as \"250ms\", not %s", strconv.Quote(text))
+	}
+	if span < 0 || span > maxSpan {
+		return errors.Newf("must be from 0s to %s, not %s", maxSpan, text)
+	}
+	return nil
+}
+
+func decode(raw string, into any, want string) error {
+	if raw == "null" {
+		return errors.Newf("must be %s, not null", want)
+	}
+	if err := json.Unmarshal([]byte(raw), into); err != nil {
+		return errors.Newf("must be %s, not %s", want, raw)
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/invariant/doc.go
@@ -0,0 +1,2 @@
+// Package invariant asserts inside the program what must always hold.
+package invariant
--- /dev/null
+++ b/pkg/logging/doc.go
@@ -0,0 +1,2 @@
+// Package logging makes the logger of a process: one line of key=value pairs for each event.
+package logging
--- /dev/null
+++ b/pkg/mesh/doc.go
@@ -0,0 +1,2 @@
+// Package mesh keeps the connections between this VM and the others.
+package mesh
--- /dev/null
+++ b/pkg/node/control.go
@@ -0,0 +1,219 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
+
+	"github.com/azuretiller/azuretiller"
+	"github.com/azuretiller/azuretiller/pkg/control"
+	"github.com/azuretiller/azuretiller/pkg/record"
+	"github.com/azuretiller/azuretiller/pkg/snapshot"
+)
+
+const (
+	readTimeout   = 1500 * time.Millisecond
+	appendTimeout = 1500 * time.Millisecond
+	beatTimeout   = 450 * time.Millisecond
+	pingTimeout   = 400 * time.Millisecond
+	fetchTimeout  = 1500 * time.Millisecond
+)
+
+// ErrUndetermined is returned when it is not known yet what became of a proposal.
+var ErrUndetermined = errors.New("the log has not answered; what became of the edit will stand in the history")
+
+// control is the one goroutine that owns the control state.
+func (n *Node) control(ctx context.Context) {
+	ticks := n.timer.Subscribe(controlTick)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticks:
+			n.reduce(ctx, control.Tick{At: n.common.Clock.Now()})
+			n.seed(ctx)
+		case item := <-n.inbox:
+			switch item := item.(type) {
+			case control.Event:
+				n.reduce(ctx, item)
+			case func(*control.State):
+				item(n.state)
+			}
+		}
+	}
+}
+
+func (n *Node) post(e control.Event) {
+	select {
+	case n.inbox <- e:
+	case <-n.ctx.Done():
+	}
+}
+
+// ask runs a function on the control goroutine and waits for it; it returns false when the context ended first.
+func (n *Node) ask(ctx context.Context, f func(*control.State)) bool {
+	done := make(chan struct{})
+	wrapped := func(s *control.State) {
+		f(s)
+		close(done)
+	}
+	select {
+	case n.inbox <- wrapped:
+	case <-ctx.Done():
+		return false
+	}
+	select {
+	case <-done:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (n *Node) reduce(ctx context.Context, e control.Event) {
+	for _, effect := range control.Reduce(n.state, e) {
+		n.run(ctx, effect)
+	}
+}
+
+func (n *Node) run(ctx context.Context, effect control.Effect) {
+	switch e := effect.(type) {
+	case control.Publish:
+		n.publish(e.Snapshot)
+	case control.Read:
+		go n.read(ctx, e)
+	case control.SendBeat:
+		go n.sendBeat(ctx, e)
+	case control.AskAround:
+		for _, via := range e.Via {
+			go n.askVia(ctx, via, e.About.ID)
+		}
+	case control.Fetch:
+		go n.fetch(ctx, e.Peer, e.From)
+	case control.Append:
+		go n.append(ctx, e.Record)
+	case control.Resolved:
+		n.resolve(e.Verdict)
+	case control.Notice:
+		n.common.Log.WithFields(log.Fields(e.Fields)).WithField("vm", n.self.ID).Info(e.Name)
+	}
+}
+
+func (n *Node) publish(s *snapshot.Snapshot) {
+	n.snapshot.Store(s)
+	if !s.Ready {
+		return
+	}
+	n.rateMu.Lock()
+	n.rates.Observe(s.Members, s.Config, n.common.Clock.Now())
+	n.rateMu.Unlock()
+	n.isReady.Do(func() { close(n.ready) })
+}
+
+func (n *Node) read(ctx context.Context, e control.Read) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	started := n.common.Clock.Now()
+	entries, oldest, err := n.log.Read(ctx, e.From, e.Most)
+	now := n.common.Clock.Now()
+	if err != nil {
+		n.post(control.ReadFailed{At: now, Started: started})
+		return
+	}
+	n.post(control.EntriesRead{At: now, Started: started, From: e.From, Entries: entries, Oldest: oldest})
+}
+
+func (n *Node) sendBeat(ctx context.Context, e control.SendBeat) {
+	ctx, cancel := context.WithTimeout(ctx, beatTimeout)
+	defer cancel()
+	sent := n.common.Clock.Now()
+	answer, err := n.peers.Beat(ctx, e.To, e.Beat)
+	if err != nil {
+		return
+	}
+	n.post(control.BeatAnswered{At: n.common.Clock.Now(), Sent: sent, Beat: answer})
+}
+
+func (n *Node) askVia(ctx context.Context, via azuretiller.VM, about azuretiller.VMID) {
+	ctx, cancel := context.WithTimeout(ctx, 2*pingTimeout)
+	defer cancel()
+	heard, incarnation, err := n.peers.Ping(ctx, via, about)
+	if err != nil || !heard {
+		return
+	}
+	n.post(control.Relayed{At: n.common.Clock.Now(), VM: about, Incarnation: incarnation})
+}
+
+func (n *Node) fetch(ctx context.Context, peer azuretiller.VM, from azuretiller.Offset) {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	sent := n.common.Clock.Now()
+	fetched, err := n.peers.Records(ctx, peer, from)
+	if err != nil {
+		return
+	}
+	fetched.At = n.common.Clock.Now()
+	fetched.Sent = sent
+	n.post(fetched)
+}
+
+func (n *Node) append(ctx context.Context, r record.Record) {
+	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	data, err := record.Encode(r)
+	if err != nil {
+		n.common.Log.WithField("error", err).Error("record not encoded")
+		return
+	}
+	offset, err := n.log.Append(ctx, data)
+	n.post(control.Appended{At: n.common.Clock.Now(), ID: r.ID, Offset: offset, Failed: err != nil})
+}
+
+// seed asks the seeds for the state while this VM has none and the log does not answer.
+func (n *Node) seed(ctx context.Context) {
+	if n.Snapshot().Ready || len(n.settings.Seeds) == 0 || !n.state.WantsSeed(n.common.Clock.Now()) {
+		return
+	}
+	for _, address := range n.settings.Seeds {
+		go n.fetch(ctx, azuretiller.VM{ID: azuretiller.VMID(address), Peer: address}, n.state.Journal().Next())
+	}
+}
+
+// Propose appends an edit and waits until the log's readers have judged it.
+func (n *Node) Propose(ctx context.Context, base azuretiller.Revision, e record.Edit) (record.Verdict, error) {
+	var id string
+	result := make(chan record.Verdict, 1)
+	ok := n.ask(ctx, func(s *control.State) {
+		r := s.NewEdit(base, e)
+		id = r.ID
+		n.verdicts.Lock()
+		n.waiters[id] = result
+		n.verdicts.Unlock()
+		n.reduce(n.ctx, control.Proposed{At: n.common.Clock.Now(), Record: r})
+	})
+	defer func() {
+		n.verdicts.Lock()
+		delete(n.waiters, id)
+		n.verdicts.Unlock()
+	}()
+	if !ok {
+		return record.Verdict{ID: id}, ErrUndetermined
+	}
+	select {
+	case v := <-result:
+		return v, nil
+	case <-ctx.Done():
+		return record.Verdict{ID: id}, ErrUndetermined
+	}
+}
+
+func (n *Node) resolve(v record.Verdict) {
+	n.verdicts.Lock()
+	defer n.verdicts.Unlock()
+	if waiter, ok := n.waiters[v.ID]; ok {
+		waiter <- v
+		delete(n.waiters, v.ID)
+	}
+}
--- /dev/null
+++ b/pkg/node/doc.go
@@ -0,0 +1,2 @@
+// Package node runs one VM of the fleet.
+package node
--- /dev/null
+++ b/pkg/node/node.go
@@ -0,0 +1,205 @@
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/azuretiller/azuretiller"
+	"github.com/azuretiller/azuretiller/pkg/common"
+	"github.com/azuretiller/azuretiller/pkg/control"
+	"github.com/azuretiller/azuretiller/pkg/dispatch"
+	"github.com/azuretiller/azuretiller/pkg/entry"
+	"github.com/azuretiller/azuretiller/pkg/handshake"
+	"github.com/azuretiller/azuretiller/pkg/idstore"
+	"github.com/azuretiller/azuretiller/pkg/invariant"
+	"github.com/azuretiller/azuretiller/pkg/mesh"
+	"github.com/azuretiller/azuretiller/pkg/once"
+	"github.com/azuretiller/azuretiller/pkg/peers"
+	"github.com/azuretiller/azuretiller/pkg/picker"
+	"github.com/azuretiller/azuretiller/pkg/poolhome"
+	"github.com/azuretiller/azuretiller/pkg/ratehome"
+	"github.com/azuretiller/azuretiller/pkg/ratelimit"
+	"github.com/azuretiller/azuretiller/pkg/record"
+	"github.com/azuretiller/azuretiller/pkg/settings"
+	"github.com/azuretiller/azuretiller/pkg/snapshot"
+	"github.com/azuretiller/azuretiller/pkg/timer"
+)
+
+const (
+	timerStep     = 10 * time.Millisecond
+	controlTick   = 50 * time.Millisecond
+	poolTick      = 20 * time.Millisecond
+	sweepTick     = 100 * time.Millisecond
+	inboxSize     = 1024
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 2 * time.Minute
+	maxHeader     = 64 << 10
+	// drainPoll is the time between two looks at the requests that are still running.
+	drainPoll = 20 * time.Millisecond
+)
+
+// Listeners are the open sockets of a VM.
+type Listeners struct {
+	Caller   net.Listener
+	Peer     net.Listener
+	Operator net.Listener
+}
+
+// Node is one running VM.
+type Node struct {
+	common   *common.Common
+	settings settings.Settings
+	log      azuretiller.Log
+	self     azuretiller.VM
+
+	snapshot atomic.Pointer[snapshot.Snapshot]
+	inbox    chan any
+	state    *control.State
+	timer    *timer.Service
+	mesh     *mesh.Mesh
+	peers    *peers.Peers
+	sender   *dispatch.Sender
+	home     *poolhome.Home
+	entry    *entry.Handler
+	limiter  *ratelimit.Limiter
+	ready    chan struct{}
+	isReady  sync.Once
+	// ctx ends when the VM stops; background work of the control goroutine uses it.
+	ctx  context.Context
+	stop context.CancelFunc
+
+	rateMu   sync.Mutex
+	rates    *ratehome.Home
+	onceMu   sync.Mutex
+	ids      *once.Registry
+	verdicts sync.Mutex
+	waiters  map[string]chan record.Verdict
+}
+
+// New returns a VM that is not running yet.
+func New(c *common.Common, s settings.Settings, log azuretiller.Log) *Node {
+	now := c.Clock.Now()
+	self := s.VM
+	self.Incarnation = azuretiller.Incarnation(now.UnixNano())
+	n := &Node{
+		common:   c,
+		settings: s,
+		log:      log,
+		self:     self,
+		inbox:    make(chan any, inboxSize),
+		state:    control.New(self, s.Control, uint64(self.Incarnation)),
+		timer:    timer.New(timerStep),
+		sender:   dispatch.New(),
+		ready:    make(chan struct{}),
+		rates:    ratehome.New(self.ID, s.Control.Limit),
+		ids:      once.New(now),
+		waiters:  map[string]chan record.Verdict{},
+	}
+	n.snapshot.Store(&snapshot.Snapshot{Self: self, Limit: s.Control.Limit})
+	check := invariant.New(func(message string) { c.Log.WithField("message", message).Error("invariant violated") })
+	n.mesh = mesh.New(c, handshake.New(s.Secret, self), n)
+	n.peers = peers.New(n)
+	n.home = poolhome.New(c, check, n.sender, n, n.Snapshot)
+	n.limiter = ratelimit.New(self.ID, c.Clock, n.peers)
+	random := rand.New(rand.NewPCG(uint64(self.Incarnation), 1))
+	n.entry = entry.New(c, n.Snapshot, n.limiter, picker.New(self.Zone, c.Clock, random), n, idstore.New(c, n.peers))
+	return n
+}
+
+// Snapshot returns what the VM knows.
+func (n *Node) Snapshot() *snapshot.Snapshot { return n.snapshot.Load() }
+
+// Ready is closed once the VM has read a configuration.
+func (n *Node) Ready() <-chan struct{} { return n.ready }
+
+// Run serves until the context ends, then drains and returns. The operators' handler is served on its own listener.
+func (n *Node) Run(ctx context.Context, l Listeners, operators http.Handler) error {
+	running, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	n.ctx = running
+	n.stop = stop
+	group, running := errgroup.WithContext(running)
+	callers := n.server(n.entry)
+	operator := n.server(operators)
+	group.Go(func() error { return n.mesh.Serve(running, l.Peer) })
+	group.Go(func() error { return serve(callers, l.Caller) })
+	group.Go(func() error { return serve(operator, l.Operator) })
+	group.Go(func() error { n.timer.Run(running); return nil })
+	group.Go(func() error { n.control(running); return nil })
+	group.Go(func() error { n.every(running, poolTick, n.home.Tick); return nil })
+	group.Go(func() error { n.every(running, sweepTick, func() { n.limiter.Sweep(running) }); return nil })
+	group.Go(func() error {
+		select {
+		case <-ctx.Done():
+			n.drain(running, callers)
+		case <-running.Done():
+		}
+		stop()
+		_ = callers.Close()
+		_ = operator.Close()
+		n.mesh.Close()
+		n.sender.Close()
+		return nil
+	})
+	return group.Wait()
+}
+
+func (n *Node) server(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeader,
+		ErrorLog:          nil,
+	}
+}
+
+func serve(server *http.Server, l net.Listener) error {
+	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return errors.Wrap(err, "serve HTTP")
+	}
+	return nil
+}
+
+func (n *Node) every(ctx context.Context, interval time.Duration, work func()) {
+	wake := n.timer.Subscribe(interval)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-wake:
+			work()
+		}
+	}
+}
+
+// drain leaves the address answers, serves callers until the answers that name this VM have expired,
+// and then waits for the running requests.
+func (n *Node) drain(ctx context.Context, callers *http.Server) {
+	n.common.Log.WithField("vm", n.self.ID).Info("leaving")
+	n.post(control.LeaveBegun{At: n.common.Clock.Now()})
+	pause(ctx, n.settings.Drain)
+	_ = callers.Shutdown(ctx)
+	for n.home.Running() > 0 && ctx.Err() == nil {
+		pause(ctx, drainPoll)
+	}
+	n.common.Log.WithField("vm", n.self.ID).Info("left")
+}
+
+func pause(ctx context.Context, span time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(span):
+	}
+}
+
+// Kill stops the VM at once, as a crash would.
+func (n *Node) Kill() { n.stop() }
--- /dev/null
+++ b/pkg/node/state.go
@@ -0,0 +1,143 @@
+package node
+
+import (
+	"context"
+	"slices"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/azuretiller/azuretiller"
+	"github.com/azuretiller/azuretiller/pkg/control"
+	"github.com/azuretiller/azuretiller/pkg/operator"
+	"github.com/azuretiller/azuretiller/pkg/record"
+	"github.com/azuretiller/azuretiller/pkg/snapshot"
+	"github.com/azuretiller/azuretiller/pkg/strict"
+	"github.com/azuretiller/azuretiller/pkg/tree"
+)
+
+var errStopping = errors.New("the VM is stopping")
+
+// Tree returns the settings tree and its revision.
+func (n *Node) Tree(ctx context.Context) (*tree.Tree, azuretiller.Revision, error) {
+	var t *tree.Tree
+	var revision azuretiller.Revision
+	ok := n.ask(ctx, func(s *control.State) {
+		t = s.Journal().Tree()
+		revision = s.Journal().Revision()
+	})
+	if !ok {
+		return nil, 0, errStopping
+	}
+	return t, revision, nil
+}
+
+// History returns the verdicts on the latest records, the oldest first.
+func (n *Node) History(ctx context.Context) ([]record.Verdict, error) {
+	var out []record.Verdict
+	if !n.ask(ctx, func(s *control.State) { out = s.Journal().History() }) {
+		return nil, errStopping
+	}
+	return out, nil
+}
+
+// Dump returns the state of the VM without keys and secrets.
+func (n *Node) Dump(context.Context) operator.Dump {
+	s := n.Snapshot()
+	now := n.common.Clock.Now()
+	d := operator.Dump{
+		VM:             string(n.self.ID),
+		Zone:           string(n.self.Zone),
+		Incarnation:    uint64(n.self.Incarnation),
+		Ready:          s.Ready,
+		Current:        s.Current(now),
+		Leaving:        s.Leaving,
+		Next:           uint64(s.Next),
+		Revision:       uint64(s.Revision),
+		Roster:         uint64(s.RosterRevision),
+		Pools:          map[string]string{},
+		CallersRunning: n.entry.Running(),
+		PoolsRunning:   n.home.Running(),
+	}
+	if !s.CompleteAt.IsZero() {
+		d.ViewAge = strict.Elapsed(now, s.CompleteAt).String()
+	}
+	for _, id := range s.Pollers {
+		d.Pollers = append(d.Pollers, string(id))
+	}
+	for _, vm := range s.Members {
+		d.VMs = append(d.VMs, operator.VM{
+			ID:          string(vm.ID),
+			Zone:        string(vm.Zone),
+			Incarnation: uint64(vm.Incarnation),
+			Caller:      vm.Caller,
+			Peer:        vm.Peer,
+			Operator:    vm.Operator,
+			State:       stateOf(s, vm),
+		})
+	}
+	for _, pools := range s.Topology {
+		for _, p := range pools {
+			d.Pools[p.ID.String()] = string(p.Home.ID)
+		}
+	}
+	if s.Config != nil {
+		d.Teams = len(s.Config.Teams)
+		d.Keys = len(s.Config.Keys)
+	}
+	d.Servers = n.servers()
+	n.fillShared(&d)
+	return d
+}
+
+func stateOf(s *snapshot.Snapshot, vm azuretiller.VM) string {
+	switch {
+	case slices.Contains(s.Down, vm.ID):
+		return "down"
+	case vm.Leaving:
+		return "leaving"
+	case s.Config.Zones[vm.Zone].Out:
+		return "zone out"
+	default:
+		return "live"
+	}
+}
+
+func (n *Node) servers() []operator.Server {
+	out := []operator.Server{}
+	for id, reports := range n.home.Report() {
+		for _, r := range reports {
+			row := operator.Server{
+				Pool:      id.String(),
+				Server:    string(r.Server),
+				Phase:     r.Phase,
+				Reason:    r.Reason,
+				Busy:      r.Busy,
+				Limit:     r.Limit,
+				Draining:  r.Draining,
+				Suspicion: r.Suspicion,
+				Ejections: r.Ejections,
+			}
+			if r.OutFor > 0 {
+				row.OutFor = r.OutFor.String()
+			}
+			out = append(out, row)
+		}
+	}
+	slices.SortFunc(out, func(a, b operator.Server) int {
+		return strings.Compare(a.Pool+a.Server, b.Pool+b.Server)
+	})
+	return out
+}
+
+func (n *Node) fillShared(d *operator.Dump) {
+	n.rateMu.Lock()
+	d.Levels = map[string]int64{}
+	for team, level := range n.rates.Levels(n.common.Clock.Now()) {
+		d.Levels[string(team)] = int64(level)
+	}
+	n.rateMu.Unlock()
+	n.onceMu.Lock()
+	d.RequestIDs = n.ids.Len()
+	n.onceMu.Unlock()
+}
--- /dev/null
+++ b/pkg/operator/doc.go
@@ -0,0 +1,2 @@
+// Package operator serves the operators' interface of a VM.
+package operator
--- /dev/null
+++ b/pkg/operator/handler.go
@@ -0,0 +1,201 @@
+package operator
+
+import (
+	"context"
+	"crypto/subtle"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-chi/chi/v5"
+
+	"github.com/azuretiller/azuretiller"
+	"github.com/azuretiller/azuretiller/pkg/field"
+	"github.com/azuretiller/azuretiller/pkg/record"
+	"github.com/azuretiller/azuretiller/pkg/tree"
+)
+
+const (
+	maxEditBytes = 4 << 20
+	proposeTime  = 8 * time.Second
+	bearer       = "Bearer "
+)
+
+// VMState is what the operators' interface shows and changes.
+type VMState interface {
+	// Tree returns the settings tree and its revision.
+	Tree(ctx context.Context) (*tree.Tree, azuretiller.Revision, error)
+	// History returns the verdicts on the latest records, the oldest first.
+	History(ctx context.Context) ([]record.Verdict, error)
+	// Propose appends an edit and waits for its verdict; an error means that it is not known yet.
+	Propose(ctx context.Context, base azuretiller.Revision, e record.Edit) (record.Verdict, error)
+	// Dump returns the state of the VM.
+	Dump(ctx context.Context) Dump
+}
+
+// Handler serves the operators' interface.
+type Handler struct {
+	state   VMState
+	token   string
+	router  chi.Router
+	metrics http.Handler
+}
+
+// New returns a handler that asks for a token.
+func New(state VMState, token string, metrics http.Handler) *Handler {
+	h := &Handler{state: state, token: token, router: chi.NewRouter(), metrics: metrics}
+	h.router.Use(h.authenticate)
+	h.router.Get("/tree", h.getTree)
+	h.router.Get("/explain", h.explain)
+	h.router.Post("/edits", h.edit)
+	h.router.Get("/history", h.history)
+	h.router.Get("/dump", h.dump)
+	h.router.Method(http.MethodGet, "/metrics", metrics)
+	return h
+}
+
+// ServeHTTP serves one call of an operator.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) { h.router.ServeHTTP(w, r) }
+
+func (h *Handler) authenticate(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		token := strings.TrimPrefix(r.Header.Get("Authorization"), bearer)
+		if subtle.ConstantTimeCompare([]byte(token), []byte(h.token)) != 1 {
+			answer(w, http.StatusUnauthorized, Failure{Error: "the operators' token is missing or wrong"})
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (h *Handler) getTree(w http.ResponseWriter, r *http.Request) {
+	t, revision, err := h.state.Tree(r.Context())
+	if err != nil {
+		answer(w, http.StatusServiceUnavailable, Failure{Error: err.Error()})
+		return
+	}
+	below := pathOf(r)
+	out := Tree{Revision: uint64(revision), Branches: []Branch{}}
+	for _, path := range t.Paths() {
+		if tree.Within(path, below) {
+			out.Branches = append(out.Branches, Branch{Path: path, Fields: t.Fields(path)})
+		}
+	}
+	answer(w, http.StatusOK, out)
+}
+
+func (h *Handler) explain(w http.ResponseWriter, r *http.Request) {
+	t, _, err := h.state.Tree(r.Context())
+	if err != nil {
+		answer(w, http.StatusServiceUnavailable, Failure{Error: err.Error()})
+		return
+	}
+	path := pathOf(r)
+	if !t.Has(path) {
+		answer(w, http.StatusNotFound, Failure{Error: "there is no branch " + path})
+		return
+	}
+	out := []Effective{}
+	for _, f := range field.Table() {
+		value, source := t.Lookup(path, f.Name)
+		out = append(out, Effective{Field: f.Name, Value: value, Source: source})
+	}
+	answer(w, http.StatusOK, out)
+}
+
+func pathOf(r *http.Request) string {
+	path := r.URL.Query().Get("path")
+	if path == "" {
+		return "/"
+	}
+	return path
+}
+
+func (h *Handler) edit(w http.ResponseWriter, r *http.Request) {
+	var e Edit
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxEditBytes))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&e); err != nil {
+		answer(w, http.StatusBadRequest, Failure{Error: "the edit is not well-formed: " + err.Error()})
+		return
+	}
+	changes, err := decodeChanges(e.Changes)
+	if err != nil {
+		answer(w, http.StatusBadRequest, Failure{Error: err.Error()})
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), proposeTime)
+	defer cancel()
+	v, err := h.state.Propose(ctx, azuretiller.Revision(e.Base), record.Edit{Operator: e.Operator, Comment: e.Comment, Changes: changes})
+	switch {
+	case err != nil:
+		out := encodeVerdict(v)
+		out.Reason = err.Error()
+		answer(w, http.StatusAccepted, out)
+	case v.Accepted:
+		answer(w, http.StatusOK, encodeVerdict(v))
+	default:
+		answer(w, http.StatusConflict, encodeVerdict(v))
+	}
+}
+
+func decodeChanges(in []Change) ([]azuretiller.Change, error) {
+	kinds := map[string]azuretiller.ChangeKind{
+		"set":    azuretiller.ChangeSet,
+		"unset":  azuretiller.ChangeUnset,
+		"make":   azuretiller.ChangeMake,
+		"delete": azuretiller.ChangeDelete,
+	}
+	var out []azuretiller.Change
+	for i, c := range in {
+		kind, ok := kinds[c.Kind]
+		if !ok {
+			return nil, errors.Newf("change %d has the unknown kind %q", i+1, c.Kind)
+		}
+		out = append(out, azuretiller.Change{Kind: kind, Path: c.Path, Field: c.Field, Value: c.Value})
+	}
+	return out, nil
+}
+
+func encodeVerdict(v record.Verdict) Verdict {
+	return Verdict{
+		ID:       v.ID,
+		Kind:     v.Kind,
+		Offset:   uint64(v.Offset),
+		Accepted: v.Accepted,
+		Reason:   v.Reason,
+		Operator: v.Operator,
+		Comment:  v.Comment,
+		Paths:    v.Paths,
+	}
+}
+
+func (h *Handler) history(w http.ResponseWriter, r *http.Request) {
+	verdicts, err := h.state.History(r.Context())
+	if err != nil {
+		answer(w, http.StatusServiceUnavailable, Failure{Error: err.Error()})
+		return
+	}
+	out := []Verdict{}
+	for _, v := range verdicts {
+		out = append(out, encodeVerdict(v))
+	}
+	answer(w, http.StatusOK, out)
+}
+
+func (h *Handler) dump(w http.ResponseWriter, r *http.Request) {
+	answer(w, http.StatusOK, h.state.Dump(r.Context()))
+}
+
+func answer(w http.ResponseWriter, status int, value any) {
+	data, err := json.MarshalIndent(value, "", "  ")
+	if err != nil {
+		status = http.StatusInternalServerError
+		data = []byte(`{"error":"the answer could not be encoded"}`)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_, _ = w.Write(append(data, '\n'))
+}
--- /dev/null
+++ b/pkg/operator/types.go
@@ -0,0 +1,96 @@
+package operator
+
+// The JSON types of the operators' interface, which tillerctl reads as well.
+type (
+	// Branch is one branch of the tree with the fields it sets itself, as JSON texts.
+	Branch struct {
+		Path   string            `json:"path"`
+		Fields map[string]string `json:"fields"`
+	}
+	// Tree is the settings tree at a revision.
+	Tree struct {
+		Revision uint64   `json:"revision"`
+		Branches []Branch `json:"branches"`
+	}
+	// Effective is the value of one field of a branch and where it comes from.
+	Effective struct {
+		Field  string `json:"field"`
+		Value  string `json:"value"`
+		Source string `json:"source"`
+	}
+	// Change is one step of an edit; Kind is set, unset, make or delete.
+	Change struct {
+		Kind  string `json:"kind"`
+		Path  string `json:"path"`
+		Field string `json:"field,omitempty"`
+		Value string `json:"value,omitempty"`
+	}
+	// Edit is an edit with the revision it was based on.
+	Edit struct {
+		Base     uint64   `json:"base"`
+		Operator string   `json:"operator"`
+		Comment  string   `json:"comment"`
+		Changes  []Change `json:"changes"`
+	}
+	// Verdict is what became of an edit.
+	Verdict struct {
+		ID       string   `json:"id"`
+		Kind     string   `json:"kind"`
+		Offset   uint64   `json:"offset"`
+		Accepted bool     `json:"accepted"`
+		Reason   string   `json:"reason,omitempty"`
+		Operator string   `json:"operator,omitempty"`
+		Comment  string   `json:"comment,omitempty"`
+		Paths    []string `json:"paths,omitempty"`
+	}
+	// VM is one member of the roster as this VM sees it.
+	VM struct {
+		ID          string `json:"id"`
+		Zone        string `json:"zone"`
+		Incarnation uint64 `json:"incarnation"`
+		Caller      string `json:"caller"`
+		Peer        string `json:"peer"`
+		Operator    string `json:"operator"`
+		State       string `json:"state"`
+	}
+	// Server is the state of one backend server at the home of its pool.
+	Server struct {
+		Pool      string  `json:"pool"`
+		Server    string  `json:"server"`
+		Phase     string  `json:"phase"`
+		Reason    string  `json:"reason,omitempty"`
+		Busy      int     `json:"busy"`
+		Limit     int     `json:"limit"`
+		Draining  bool    `json:"draining"`
+		Suspicion float64 `json:"suspicion"`
+		Ejections int     `json:"ejections"`
+		OutFor    string  `json:"out_for,omitempty"`
+	}
+	// Dump is the state of one VM; it holds no key and no secret.
+	Dump struct {
+		VM             string            `json:"vm"`
+		Zone           string            `json:"zone"`
+		Incarnation    uint64            `json:"incarnation"`
+		Ready          bool              `json:"ready"`
+		Current        bool              `json:"current"`
+		Leaving        bool              `json:"leaving"`
+		Next           uint64            `json:"next"`
+		Revision       uint64            `json:"revision"`
+		Roster         uint64            `json:"roster"`
+		ViewAge        string            `json:"view_age"`
+		Pollers        []string          `json:"pollers"`
+		VMs            []VM              `json:"vms"`
+		Pools          map[string]string `json:"pools"`
+		Servers        []Server          `json:"servers"`
+		Teams          int               `json:"teams"`
+		Keys           int               `json:"keys"`
+		Levels         map[string]int64  `json:"levels"`
+		RequestIDs     int               `json:"request_ids"`
+		CallersRunning int               `json:"callers_running"`
+		PoolsRunning   int               `json:"pools_running"`
+	}
+	// Failure is the answer to a call that was refused.
+	Failure struct {
+		Error string `json:"error"`
+	}
+)
--- /dev/null
+++ b/pkg/operatorclient/client.go
@@ -0,0 +1,96 @@
+package operatorclient
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/azuretiller/azuretiller/pkg/operator"
+)
+
+const (
+	timeout      = 10 * time.Second
+	maxBodyBytes = 256 << 20
+)
+
+// Client calls one VM.
+type Client struct {
+	base   string
+	token  string
+	client *http.Client
+}
+
+// New returns a client of the VM whose operators' address is host:port.
+func New(address, token string) *Client {
+	return &Client{base: "http://" + address, token: token, client: &http.Client{Timeout: timeout}}
+}
+
+// Tree returns the branches at and below a path.
+func (c *Client) Tree(ctx context.Context, path string) (operator.Tree, error) {
+	var out operator.Tree
+	_, err := c.do(ctx, http.MethodGet, "/tree?path="+url.QueryEscape(path), nil, &out)
+	return out, errors.Wrap(err, "get tree")
+}
+
+// Explain returns the effective fields of a branch and where they come from.
+func (c *Client) Explain(ctx context.Context, path string) ([]operator.Effective, error) {
+	var out []operator.Effective
+	_, err := c.do(ctx, http.MethodGet, "/explain?path="+url.QueryEscape(path), nil, &out)
+	return out, errors.Wrap(err, "explain branch")
+}
+
+// Edit proposes an edit. Known is false when it is not certain yet what became of it.
+func (c *Client) Edit(ctx context.Context, e operator.Edit) (v operator.Verdict, known bool, err error) {
+	status, err := c.do(ctx, http.MethodPost, "/edits", e, &v)
+	return v, status != http.StatusAccepted, errors.Wrap(err, "propose edit")
+}
+
+// History returns the verdicts on the latest records, the oldest first.
+func (c *Client) History(ctx context.Context) ([]operator.Verdict, error) {
+	var out []operator.Verdict
+	_, err := c.do(ctx, http.MethodGet, "/history", nil, &out)
+	return out, errors.Wrap(err, "get history")
+}
+
+// Dump returns the state of the VM.
+func (c *Client) Dump(ctx context.Context) (operator.Dump, error) {
+	var out operator.Dump
+	_, err := c.do(ctx, http.MethodGet, "/dump", nil, &out)
+	return out, errors.Wrap(err, "get dump")
+}
+
+func (c *Client) do(ctx context.Context, method, path string, body, into any) (int, error) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return 0, err
+	}
+	request, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(data))
+	if err != nil {
+		return 0, err
+	}
+	request.Header.Set("Authorization", "Bearer "+c.token)
+	response, err := c.client.Do(request)
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	answer, err := io.ReadAll(io.LimitReader(response.Body, maxBodyBytes))
+	if err != nil {
+		return 0, err
+	}
+	switch response.StatusCode {
+	case http.StatusOK, http.StatusAccepted, http.StatusConflict:
+		return response.StatusCode, json.Unmarshal(answer, into)
+	}
+	var failure operator.Failure
+	if json.Unmarshal(answer, &failure) == nil && failure.Error != "" {
+		return response.StatusCode, errors.Newf("%s", failure.Error)
+	}
+	return response.StatusCode, errors.Newf("the VM answered %s", response.Status)
+}
--- /dev/null
+++ b/pkg/operatorclient/doc.go
@@ -0,0 +1,2 @@
+// Package operatorclient calls the operators' interface of a VM.
+package operatorclient
--- /dev/null
+++ b/pkg/peers/codec.go
@@ -0,0 +1,164 @@
+package peers
+
+import (
+	"time"
+
+	"github.com/azuretiller/azuretiller"
+	"github.com/azuretiller/azuretiller/pkg/control"
+	"github.com/azuretiller/azuretiller/pkg/freshness"
+	"github.com/azuretiller/azuretiller/pkg/membership"
+	"github.com/azuretiller/azuretiller/pkg/once"
+	"github.com/azuretiller/azuretiller/pkg/peerpb"
+	"github.com/azuretiller/azuretiller/pkg/ratehome"
+	"github.com/azuretiller/azuretiller/pkg/wire"
+)
+
+func micros(us int64) time.Duration { return time.Duration(us) * time.Microsecond }
+
+// EncodeBeat returns a heartbeat as a message.
+func EncodeBeat(b control.Beat) *peerpb.Heartbeat {
+	out := &peerpb.Heartbeat{
+		Vm:          string(b.VM),
+		Incarnation: uint64(b.Incarnation),
+		Next:        uint64(b.Next),
+		AgeUs:       b.Age.Microseconds(),
+	}
+	for _, a := range b.Accusations {
+		out.Accusations = append(out.Accusations, &peerpb.Accusation{
+			Vm:          string(a.VM),
+			Incarnation: uint64(a.Incarnation),
+			Observer:    string(a.Observer),
+			AgeUs:       a.Age.Microseconds(),
+		})
+	}
+	for _, o := range b.Outages {
+		out.Outages = append(out.Outages, &peerpb.Outage{Vm: string(o.VM), AgeUs: o.Age.Microseconds()})
+	}
+	return out
+}
+
+// DecodeBeat returns the heartbeat in a message.
+func DecodeBeat(m *peerpb.Heartbeat) control.Beat {
+	b := control.Beat{
+		VM:          azuretiller.VMID(m.GetVm()),
+		Incarnation: azuretiller.Incarnation(m.GetIncarnation()),
+		Next:        azuretiller.Offset(m.GetNext()),
+		Age:         micros(m.GetAgeUs()),
+	}
+	if m.GetAgeUs() < 0 {
+		b.Age = -1
+	}
+	for _, a := range m.GetAccusations() {
+		b.Accusations = append(b.Accusations, membership.Accusation{
+			VM:          azuretiller.VMID(a.GetVm()),
+			Incarnation: azuretiller.Incarnation(a.GetIncarnation()),
+			Observer:    azuretiller.VMID(a.GetObserver()),
+			Age:         micros(a.GetAgeUs()),
+		})
+	}
+	for _, o := range m.GetOutages() {
+		b.Outages = append(b.Outages, freshness.Outage{VM: azuretiller.VMID(o.GetVm()), Age: micros(o.GetAgeUs())})
+	}
+	return b
+}
+
+func encodeDraw(d ratehome.Draw) *peerpb.DrawRequest {
+	return &peerpb.DrawRequest{
+		Team:       string(d.Team),
+		Want:       int64(d.Want),
+		Spent:      int64(d.Spent),
+		Returned:   int64(d.Returned),
+		LifetimeUs: d.Lifetime.Microseconds(),
+	}
+}
+
+// DecodeDraw returns the draw in a message of a VM.
+func DecodeDraw(from azuretiller.VMID, m *peerpb.DrawRequest) ratehome.Draw {
+	return ratehome.Draw{
+		Team:     azuretiller.TeamID(m.GetTeam()),
+		Holder:   from,
+		Want:     azuretiller.Millitokens(m.GetWant()),
+		Spent:    azuretiller.Millitokens(m.GetSpent()),
+		Returned: azuretiller.Millitokens(m.GetReturned()),
+		Lifetime: micros(m.GetLifetimeUs()),
+	}
+}
+
+// EncodeGrant returns the answer to a draw as a message.
+func EncodeGrant(g ratehome.Grant) *peerpb.DrawAnswer {
+	return &peerpb.DrawAnswer{
+		Granted:      int64(g.Granted),
+		Level:        int64(g.Level),
+		Code:         uint32(g.Code),
+		RetryAfterUs: g.RetryAfter.Microseconds(),
+	}
+}
+
+func decodeGrant(m *peerpb.DrawAnswer) ratehome.Grant {
+	return ratehome.Grant{
+		Granted:    azuretiller.Millitokens(m.GetGranted()),
+		Level:      azuretiller.Millitokens(m.GetLevel()),
+		Code:       azuretiller.Code(m.GetCode()),
+		RetryAfter: micros(m.GetRetryAfterUs()),
+	}
+}
+
+// Reservation is what one VM knows of a request id.
+type Reservation struct {
+	State  once.State
+	Answer once.Answer
+	// Age is the time for which the VM knows all ids.
+	Age time.Duration
+}
+
+// EncodeReservation returns the answer to a reservation as a message.
+func EncodeReservation(r Reservation) *peerpb.ReserveAnswer {
+	return &peerpb.ReserveAnswer{
+		State:   uint32(r.State),
+		YoungUs: r.Age.Microseconds(),
+		Code:    uint32(r.Answer.Code),
+		Status:  uint32(r.Answer.Status),
+		Headers: wire.EncodeHeaders(r.Answer.Headers),
+		Body:    r.Answer.Body,
+		Kept:    r.Answer.Kept,
+	}
+}
+
+func decodeReservation(m *peerpb.ReserveAnswer) Reservation {
+	return Reservation{
+		State: once.State(m.GetState()),
+		Age:   micros(m.GetYoungUs()),
+		Answer: once.Answer{
+			Code:    azuretiller.Code(m.GetCode()),
+			Status:  int(m.GetStatus()),
+			Headers: wire.DecodeHeaders(m.GetHeaders()),
+			Body:    m.GetBody(),
+			Kept:    m.GetKept(),
+		},
+	}
+}
+
+func encodeFinish(key once.Key, owner string, a once.Answer) *peerpb.FinishRequest {
+	return &peerpb.FinishRequest{
+		Team:    string(key.Team),
+		Id:      string(key.ID),
+		Owner:   owner,
+		Code:    uint32(a.Code),
+		Status:  uint32(a.Status),
+		Headers: wire.EncodeHeaders(a.Headers),
+		Body:    a.Body,
+		Kept:    a.Kept,
+	}
+}
+
+// DecodeFinish returns the key, the owner and the answer in a message.
+func DecodeFinish(m *peerpb.FinishRequest) (once.Key, string, once.Answer) {
+	key := once.Key{Team: azuretiller.TeamID(m.GetTeam()), ID: azuretiller.RequestID(m.GetId())}
+	return key, m.GetOwner(), once.Answer{
+		Code:    azuretiller.Code(m.GetCode()),
+		Status:  int(m.GetStatus()),
+		Headers: wire.DecodeHeaders(m.GetHeaders()),
+		Body:    m.GetBody(),
+		Kept:    m.GetKept(),
+	}
+}
--- /dev/null
+++ b/pkg/peers/peers.go
@@ -0,0 +1,116 @@
+package peers
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/azuretiller/azuretiller"
+	"github.com/azuretiller/azuretiller/pkg/control"
+	"github.com/azuretiller/azuretiller/pkg/crash"
+	"github.com/azuretiller/azuretiller/pkg/once"
+	"github.com/azuretiller/azuretiller/pkg/peerpb"
+	"github.com/azuretiller/azuretiller/pkg/ratehome"
+	"github.com/azuretiller/azuretiller/pkg/record"
+)
+
+// Caller sends one call to a VM, which may be this one.
+type Caller interface {
+	// Call returns the answer; the context must have a deadline.
+	Call(ctx context.Context, to azuretiller.VM, call *peerpb.Call) (*peerpb.Answer, error)
+}
+
+// Peers makes calls in domain types.
+type Peers struct {
+	caller Caller
+}
+
+// New returns the calls over a caller.
+func New(caller Caller) *Peers {
+	return &Peers{caller: caller}
+}
+
+// Beat sends a heartbeat and returns the other VM's.
+func (p *Peers) Beat(ctx context.Context, to azuretiller.VM, b control.Beat) (control.Beat, error) {
+	answer, err := p.caller.Call(ctx, to, &peerpb.Call{Kind: &peerpb.Call_Heartbeat{Heartbeat: EncodeBeat(b)}})
+	if err != nil {
+		return control.Beat{}, err
+	}
+	return DecodeBeat(answer.GetHeartbeat()), nil
+}
+
+// Ping asks a VM whether it can hear another one; an empty target asks only for a sign of life.
+func (p *Peers) Ping(ctx context.Context, to azuretiller.VM, target azuretiller.VMID) (heard bool, incarnation azuretiller.Incarnation, err error) {
+	answer, err := p.caller.Call(ctx, to, &peerpb.Call{Kind: &peerpb.Call_Ping{Ping: &peerpb.PingRequest{Target: string(target)}}})
+	if err != nil {
+		return false, 0, err
+	}
+	return answer.GetPing().GetHeard(), azuretiller.Incarnation(answer.GetPing().GetIncarnation()), nil
+}
+
+// Draw asks a VM for tokens of a team's rate.
+func (p *Peers) Draw(ctx context.Context, to azuretiller.VM, d ratehome.Draw) (ratehome.Grant, error) {
+	answer, err := p.caller.Call(ctx, to, &peerpb.Call{Kind: &peerpb.Call_Draw{Draw: encodeDraw(d)}})
+	if err != nil {
+		return ratehome.Grant{}, err
+	}
+	return decodeGrant(answer.GetDraw()), nil
+}
+
+// Reserve asks a VM to reserve a request id.
+func (p *Peers) Reserve(ctx context.Context, to azuretiller.VM, key once.Key, owner string, fingerprint []byte) (Reservation, error) {
+	answer, err := p.caller.Call(ctx, to, &peerpb.Call{Kind: &peerpb.Call_Reserve{Reserve: &peerpb.ReserveRequest{
+		Team:        string(key.Team),
+		Id:          string(key.ID),
+		Owner:       owner,
+		Fingerprint: fingerprint,
+	}}})
+	if err != nil {
+		return Reservation{}, err
+	}
+	return decodeReservation(answer.GetReserve()), nil
+}
+
+// Finish tells a VM what became of a request with an id.
+func (p *Peers) Finish(ctx context.Context, to azuretiller.VM, key once.Key, owner string, a once.Answer) error {
+	_, err := p.caller.Call(ctx, to, &peerpb.Call{Kind: &peerpb.Call_Finish{Finish: encodeFinish(key, owner, a)}})
+	return err
+}
+
+// Crash tells a VM that a server crashed while it ran a request.
+func (p *Peers) Crash(ctx context.Context, to azuretiller.VM, f crash.Fingerprint, server azuretiller.ServerID) error {
+	_, err := p.caller.Call(ctx, to, &peerpb.Call{Kind: &peerpb.Call_Crash{Crash: &peerpb.CrashReport{
+		Fingerprint: []byte(f),
+		Server:      string(server),
+	}}})
+	return err
+}
+
+// Records asks a VM for the records from an offset on; the event's times are left to the caller.
+func (p *Peers) Records(ctx context.Context, to azuretiller.VM, from azuretiller.Offset) (control.RecordsFetched, error) {
+	answer, err := p.caller.Call(ctx, to, &peerpb.Call{Kind: &peerpb.Call_Records{Records: &peerpb.RecordsRequest{From: uint64(from)}}})
+	if err != nil {
+		return control.RecordsFetched{}, err
+	}
+	m := answer.GetRecords()
+	out := control.RecordsFetched{Next: azuretiller.Offset(m.GetNext()), Age: micros(m.GetAgeUs())}
+	if m.GetAgeUs() < 0 {
+		out.Age = -1
+	}
+	for _, e := range m.GetEntries() {
+		out.Entries = append(out.Entries, azuretiller.Entry{Offset: azuretiller.Offset(e.GetOffset()), Data: e.GetData()})
+	}
+	if len(m.GetCheckpoint()) == 0 {
+		return out, nil
+	}
+	r, err := record.Decode(m.GetCheckpoint())
+	if err != nil {
+		return out, err
+	}
+	c, ok := r.Body.(record.Checkpoint)
+	if !ok {
+		return out, errors.Newf("records of %s: not a checkpoint", to.ID)
+	}
+	out.Checkpoint = &c
+	return out, nil
+}
--- /dev/null
+++ b/pkg/placement/doc.go
@@ -0,0 +1,2 @@
+// Package placement chooses the VMs that take a shared decision, by rendezvous hashing.
+package placement
--- /dev/null
+++ b/pkg/pool/doc.go
@@ -0,0 +1,2 @@
+// Package pool decides, for the backend servers of one pool, which request runs where and when.
+package pool
--- /dev/null
+++ b/pkg/pool/pool.go
@@ -0,0 +1,414 @@
+package pool
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/azuretiller/azuretiller"
+	"github.com/azuretiller/azuretiller/pkg/budget"
+	"github.com/azuretiller/azuretiller/pkg/config"
+	"github.com/azuretiller/azuretiller/pkg/detector"
+	"github.com/azuretiller/azuretiller/pkg/exchange"
+	"github.com/azuretiller/azuretiller/pkg/fairqueue"
+	"github.com/azuretiller/azuretiller/pkg/invariant"
+	"github.com/azuretiller/azuretiller/pkg/ramp"
+)
+
+const (
+	// waitShare is the share of a request's time that it may spend waiting for a slot.
+	waitShare = 0.4
+	longWait  = 3 * time.Second
+	// heavyFactor is the multiple of the usual slot time from which a route counts as heavy.
+	heavyFactor = 8
+	// heavyShare is the share of the slots that heavy routes may take together.
+	heavyShare = 2.0 / 3
+	// slotTimeWeight is the weight of the newest value in the average slot time.
+	slotTimeWeight  = 0.1
+	defaultSlotTime = 25 * time.Millisecond
+	// suspect is the suspicion from which a server is kept away from requests that may run only once.
+	suspect = 0.15
+	// verifying is how many idempotent requests at once a suspected server is given to settle the matter.
+	verifying = 2
+)
+
+// Pool holds the servers of one pool and the requests that run or wait; it has no clock of its own.
+type Pool struct {
+	rules    config.Service
+	random   *rand.Rand
+	check    *invariant.Checker
+	servers  []*server
+	queue    *fairqueue.Queue[azuretiller.TeamID, azuretiller.RouteID, *request]
+	requests map[TicketID]*request
+	detector *detector.Detector
+	budget   *budget.Budget
+	slotTime map[azuretiller.RouteID]time.Duration
+	usual    time.Duration
+	heavy    int
+	indexes  int
+}
+
+// New returns a pool without servers; the random source breaks ties.
+func New(rules config.Service, random *rand.Rand, check *invariant.Checker) *Pool {
+	return &Pool{
+		rules:    rules,
+		random:   random,
+		check:    check,
+		queue:    fairqueue.New[azuretiller.TeamID, azuretiller.RouteID, *request](),
+		requests: map[TicketID]*request{},
+		detector: detector.New(detector.DefaultParams()),
+		budget:   budget.New(rules.Budget),
+		slotTime: map[azuretiller.RouteID]time.Duration{},
+	}
+}
+
+// Configure replaces the rules and servers; a server that stays keeps its state, a new one starts cold.
+func (p *Pool) Configure(now time.Time, rules config.Service, servers []config.Server) []Action {
+	p.rules = rules
+	p.budget.SetRatio(rules.Budget)
+	var next []*server
+	for _, c := range servers {
+		s := p.find(c.ID)
+		if s == nil {
+			p.indexes++
+			s = &server{id: c.ID, index: p.indexes, ramp: ramp.New(rules.Slots), phase: active}
+		}
+		s.draining = c.Drain
+		s.ramp.SetSlots(rules.Slots)
+		next = append(next, s)
+	}
+	for _, s := range p.servers {
+		if !slices.Contains(next, s) {
+			s.draining = true
+			p.detector.Forget(s.index)
+		}
+	}
+	p.servers = next
+	return p.pump(now)
+}
+
+// Offer asks for a request to be run.
+func (p *Pool) Offer(now time.Time, t Ticket) []Action {
+	if !p.anyUsable() {
+		return []Action{Refuse{Ticket: t.ID, Code: azuretiller.CodeNoServer, RetryAfter: p.soonest(now)}}
+	}
+	if t.Retry && !p.budget.Retry() {
+		return []Action{Refuse{Ticket: t.ID, Code: azuretiller.CodeOverloaded, RetryAfter: time.Second}}
+	}
+	if !t.Retry {
+		p.budget.Request()
+	}
+	r := &request{ticket: t, queued: now, waitUntil: waitLimit(now, t.Deadline)}
+	var actions []Action
+	if p.queue.Len() >= p.rules.Queue && len(p.pickFree(now)) == 0 {
+		victim := p.longestFlow(t)
+		if victim == t.Team {
+			return []Action{Refuse{Ticket: t.ID, Code: azuretiller.CodeOverloaded, RetryAfter: p.drainTime()}}
+		}
+		actions = p.evict(victim)
+	}
+	p.requests[t.ID] = r
+	p.queue.Push(t.Team, t.Weight, t.Route, r)
+	return append(actions, p.pump(now)...)
+}
+
+func waitLimit(now, deadline time.Time) time.Time {
+	wait := time.Duration(float64(deadline.Sub(now)) * waitShare)
+	return now.Add(min(wait, longWait))
+}
+
+// Cancel ends a request that is waiting; one that runs is ended by its result.
+func (p *Pool) Cancel(now time.Time, id TicketID) []Action {
+	removed := p.queue.Remove(func(r *request) bool { return r.ticket.ID == id })
+	for _, r := range removed {
+		delete(p.requests, r.ticket.ID)
+	}
+	return p.pump(now)
+}
+
+// Finish takes the result of an attempt and frees its slot.
+func (p *Pool) Finish(now time.Time, id TicketID, result Result) []Action {
+	r, ok := p.requests[id]
+	p.check.That(ok && r.server != nil, "result for request %d that does not run", id)
+	if !ok || r.server == nil {
+		return nil
+	}
+	s := r.server
+	r.server = nil
+	s.busy--
+	p.learnSlotTime(r, now.Sub(r.started))
+	if r.heavy {
+		p.heavy--
+		r.heavy = false
+	}
+	actions := p.judge(now, r, s, result)
+	retried := p.retry(now, r, result)
+	if result.Kind.Blames() {
+		actions = append(actions, p.blame(now, r, s, retried)...)
+	}
+	if !retried {
+		delete(p.requests, id)
+		actions = append(actions, Deliver{Ticket: id})
+	}
+	return append(actions, p.pump(now)...)
+}
+
+// retry puts a request back into the queue when it may and can run on another server.
+func (p *Pool) retry(now time.Time, r *request, result Result) bool {
+	if !result.Replayable || r.ticket.Retries <= 0 || result.Kind == Succeeded || result.Kind == Cancelled {
+		return false
+	}
+	if !r.ticket.Idempotent && !result.Kind.NotRun() {
+		return false
+	}
+	remaining := r.ticket.Deadline.Sub(now)
+	if remaining < p.expected(r.ticket.Route) || !p.alternative(r) {
+		return false
+	}
+	if result.Kind != Unreachable && !p.budget.Retry() {
+		return false
+	}
+	r.ticket.Retries--
+	r.queued = now
+	r.waitUntil = waitLimit(now, r.ticket.Deadline)
+	p.queue.Push(r.ticket.Team, r.ticket.Weight, r.ticket.Route, r)
+	return true
+}
+
+// alternative reports whether a server is left that the request was not sent to.
+func (p *Pool) alternative(r *request) bool {
+	return slices.ContainsFunc(p.servers, func(s *server) bool {
+		return s.usable() && !r.triedOn(s)
+	})
+}
+
+// Tick advances time: it ends waits, ejections and pauses.
+func (p *Pool) Tick(now time.Time) []Action {
+	var actions []Action
+	for _, r := range p.queue.Remove(func(r *request) bool { return !now.Before(r.waitUntil) }) {
+		delete(p.requests, r.ticket.ID)
+		actions = append(actions, p.endWait(r)...)
+	}
+	for _, s := range p.servers {
+		if s.phase == ejected && !s.draining && !now.Before(s.until) {
+			s.phase = probing
+			actions = append(actions, Probe{Server: s.id})
+		}
+	}
+	return append(actions, p.pump(now)...)
+}
+
+// endWait refuses a request that never ran, and delivers the earlier result of one that waited for a retry.
+func (p *Pool) endWait(r *request) []Action {
+	p.settleHeld(r)
+	if r.starts > r.notRuns {
+		return []Action{Deliver{Ticket: r.ticket.ID}}
+	}
+	return []Action{Refuse{Ticket: r.ticket.ID, Code: azuretiller.CodeQueueTimeout, RetryAfter: p.drainTime()}}
+}
+
+// pump starts waiting requests while servers have room.
+func (p *Pool) pump(now time.Time) []Action {
+	var actions []Action
+	for p.queue.Len() > 0 {
+		free := p.pickFree(now)
+		if len(free) == 0 {
+			break
+		}
+		var chosen *server
+		r, ok := p.queue.Pop(func(r *request) (float64, bool) {
+			if p.isHeavy(r.ticket.Route) && p.heavy >= p.heavyLimit() {
+				return 0, false
+			}
+			chosen = p.choose(now, free, r)
+			return p.expected(r.ticket.Route).Seconds(), chosen != nil
+		})
+		if !ok {
+			break
+		}
+		actions = append(actions, p.start(now, r, chosen))
+	}
+	return actions
+}
+
+func (p *Pool) start(now time.Time, r *request, s *server) Action {
+	p.check.That(s.busy < p.rules.Slots, "server %s would run %d requests with %d slots", s.id, s.busy+1, p.rules.Slots)
+	p.check.That(s.usable(), "server %s is %s or draining and would get work", s.id, s.phase)
+	p.check.That(r.ticket.Idempotent || r.starts == r.notRuns, "request %d would run twice", r.ticket.ID)
+	s.busy++
+	r.server = s
+	r.starts++
+	r.started = now
+	r.tried = append(r.tried, s)
+	if p.isHeavy(r.ticket.Route) {
+		r.heavy = true
+		p.heavy++
+	}
+	return Start{Ticket: r.ticket.ID, Server: s.id, Queued: now.Sub(r.queued)}
+}
+
+func (p *Pool) pickFree(now time.Time) []*server {
+	var free []*server
+	for _, s := range p.servers {
+		if s.room(now) > 0 {
+			free = append(free, s)
+		}
+	}
+	return free
+}
+
+// choose picks the server for a request. A suspected server is given idempotent requests first, because the evidence
+// that ejects or clears it costs the same number of requests whenever they come; requests that may run only once keep away from it.
+func (p *Pool) choose(now time.Time, free []*server, r *request) *server {
+	first := len(r.tried) == 0
+	var best *server
+	bestScore := math.Inf(1)
+	for _, s := range free {
+		if r.triedOn(s) || s.phase == onTrial && !p.mayTry(now, s, r) {
+			continue
+		}
+		score := p.score(s, r, first)
+		if score < bestScore {
+			best = s
+			bestScore = score
+		}
+	}
+	return best
+}
+
+// mayTry reports whether a request may be used for a trial: one that can be retried or, when none came for long, any.
+func (p *Pool) mayTry(now time.Time, s *server, r *request) bool {
+	if r.ticket.Idempotent && len(r.tried) == 0 && r.ticket.Retries > 0 {
+		return true
+	}
+	return now.Sub(s.until) > trialPatience
+}
+
+func (p *Pool) score(s *server, r *request, first bool) float64 {
+	load := float64(s.busy)/float64(max(s.ramp.Size(), 1)) + p.random.Float64()*0.01
+	suspicion := p.detector.Suspicion(s.index)
+	if s.phase == onTrial {
+		return -1
+	}
+	if suspicion < suspect {
+		return load
+	}
+	verify := r.ticket.Idempotent && first && r.ticket.Retries > 0 && s.busy < verifying && suspicion < 1
+	if verify {
+		return load - 1
+	}
+	return load + 10*suspicion
+}
+
+func (p *Pool) isHeavy(route azuretiller.RouteID) bool {
+	t, ok := p.slotTime[route]
+	return ok && p.usual > 0 && t > heavyFactor*p.usual
+}
+
+func (p *Pool) heavyLimit() int {
+	slots := 0
+	for _, s := range p.servers {
+		if s.usable() {
+			slots += s.ramp.Size()
+		}
+	}
+	return max(1, int(float64(slots)*heavyShare))
+}
+
+func (p *Pool) expected(route azuretiller.RouteID) time.Duration {
+	if t, ok := p.slotTime[route]; ok {
+		return t
+	}
+	return defaultSlotTime
+}
+
+func (p *Pool) learnSlotTime(r *request, took time.Duration) {
+	route := r.ticket.Route
+	old, ok := p.slotTime[route]
+	if !ok {
+		old = took
+	}
+	p.slotTime[route] = time.Duration((1-slotTimeWeight)*float64(old) + slotTimeWeight*float64(took))
+	// The usual slot time is that of the lightest route, so that heavy ones cannot raise the measure they are held to.
+	p.usual = p.slotTime[route]
+	for _, t := range p.slotTime {
+		p.usual = min(p.usual, t)
+	}
+}
+
+func (p *Pool) find(id azuretiller.ServerID) *server {
+	for _, s := range p.servers {
+		if s.id == id {
+			return s
+		}
+	}
+	return nil
+}
+
+func (p *Pool) anyUsable() bool {
+	return slices.ContainsFunc(p.servers, (*server).usable)
+}
+
+// soonest returns the time until a server may come back.
+func (p *Pool) soonest(now time.Time) time.Duration {
+	wait := longestEjection
+	for _, s := range p.servers {
+		if s.phase == ejected && !s.draining {
+			wait = min(wait, max(s.until.Sub(now), 0)+reconnectAfter)
+		}
+	}
+	return wait
+}
+
+// drainTime estimates how long the queue takes to empty.
+func (p *Pool) drainTime() time.Duration {
+	load := p.Load()
+	work := time.Duration(load.Waiting+load.Busy) * max(p.usual, defaultSlotTime)
+	return work / time.Duration(max(load.Capacity, 1))
+}
+
+// longestFlow returns the team with the most waiting requests for its weight, counting the one that arrives.
+func (p *Pool) longestFlow(arriving Ticket) azuretiller.TeamID {
+	waiting := map[azuretiller.TeamID]float64{arriving.Team: 1 / float64(max(arriving.Weight, 1))}
+	for _, r := range p.requests {
+		if r.server == nil {
+			waiting[r.ticket.Team] += 1 / float64(max(r.ticket.Weight, 1))
+		}
+	}
+	longest := arriving.Team
+	for team, n := range waiting {
+		if n > waiting[longest] || n == waiting[longest] && team < longest && longest != arriving.Team {
+			longest = team
+		}
+	}
+	return longest
+}
+
+// evict refuses the newest waiting request of a team that has not run yet.
+func (p *Pool) evict(team azuretiller.TeamID) []Action {
+	var newest *request
+	for _, r := range p.requests {
+		if r.server == nil && r.starts == 0 && r.ticket.Team == team && (newest == nil || r.ticket.ID > newest.ticket.ID) {
+			newest = r
+		}
+	}
+	if newest == nil {
+		return nil
+	}
+	p.queue.Remove(func(r *request) bool { return r == newest })
+	delete(p.requests, newest.ticket.ID)
+	return []Action{Refuse{Ticket: newest.ticket.ID, Code: azuretiller.CodeOverloaded, RetryAfter: p.drainTime()}}
+}
+
+// Load returns the state of the pool for entry VMs.
+func (p *Pool) Load() exchange.Load {
+	load := exchange.Load{Waiting: p.queue.Len()}
+	for _, s := range p.servers {
+		load.Busy += s.busy
+		if s.usable() {
+			load.Capacity += s.ramp.Size()
+		}
+	}
+	return load
+}
--- /dev/null
+++ b/pkg/pool/report.go
@@ -0,0 +1,44 @@
+package pool
+
+import (
+	"time"
+
+	"github.com/azuretiller/azuretiller"
+)
+
+// ServerReport is the state of one server for dumps and operators.
+type ServerReport struct {
+	Server     azuretiller.ServerID
+	Phase      string
+	Reason     string
+	Busy       int
+	Limit      int
+	Draining   bool
+	Suspicion  float64
+	Ejections  int
+	OutFor     time.Duration
+	TrialsDone int
+}
+
+// Report returns the state of the servers in their configured order.
+func (p *Pool) Report(now time.Time) []ServerReport {
+	out := make([]ServerReport, 0, len(p.servers))
+	for _, s := range p.servers {
+		r := ServerReport{
+			Server:     s.id,
+			Phase:      s.phase.String(),
+			Reason:     s.reason,
+			Busy:       s.busy,
+			Limit:      s.ramp.Size(),
+			Draining:   s.draining,
+			Suspicion:  p.detector.Suspicion(s.index),
+			Ejections:  s.ejections,
+			TrialsDone: s.good,
+		}
+		if s.phase == ejected {
+			r.OutFor = max(s.until.Sub(now), 0)
+		}
+		out = append(out, r)
+	}
+	return out
+}
--- /dev/null
+++ b/pkg/purse/doc.go
@@ -0,0 +1,2 @@
+// Package purse holds the tokens that an entry VM drew for one team and has not spent yet.
+package purse
--- /dev/null
+++ b/pkg/ramp/doc.go
@@ -0,0 +1,2 @@
+// Package ramp limits how many requests a cold backend server runs at once.
+package ramp
--- /dev/null
+++ b/pkg/randomtest/main.go
@@ -0,0 +1,38 @@
+package randomtest
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+const (
+	// checksVariable is the environment variable that sets the number of runs of each randomised test.
+	checksVariable = "SOAK_CHECKS"
+	// seedVariable is the environment variable that sets the first seed.
+	seedVariable  = "SOAK_SEED"
+	defaultSeed   = "1"
+	defaultChecks = "100"
+)
+
+// Main runs the tests of a package with fixed seeds, unless the environment asks for others.
+func Main(m *testing.M) int {
+	flag.Parse()
+	for name, value := range map[string]string{
+		"rapid.seed":       orDefault(seedVariable, defaultSeed),
+		"rapid.checks":     orDefault(checksVariable, defaultChecks),
+		"rapid.nofailfile": "true",
+	} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	return m.Run()
+}
+
+func orDefault(variable, fallback string) string {
+	if v := os.Getenv(variable); v != "" {
+		return v
+	}
+	return fallback
+}
--- /dev/null
+++ b/pkg/record/record.go
@@ -0,0 +1,80 @@
+package record
+
+import "github.com/azuretiller/azuretiller"
+
+// Record is one entry of the log; Body is an Edit, a Join, a Removal or a Checkpoint.
+type Record struct {
+	// ID is unique; a record that was appended twice counts once.
+	ID     string
+	Author azuretiller.VMID
+	// Base is the revision that the author knew when it wrote the record.
+	Base azuretiller.Revision
+	Body Body
+}
+
+// Body is the content of a record.
+type Body interface {
+	// Kind returns the name of the content in dumps and logs.
+	Kind() string
+}
+
+// Edit changes the settings tree.
+type Edit struct {
+	Operator string
+	Comment  string
+	Changes  []azuretiller.Change
+}
+
+// Join makes a VM a member of the roster, or replaces its former incarnation.
+type Join struct {
+	VM azuretiller.VM
+}
+
+// Removal takes one incarnation of a VM out of the roster.
+type Removal struct {
+	VM          azuretiller.VMID
+	Incarnation azuretiller.Incarnation
+	Reason      string
+}
+
+// Checkpoint is the whole state after the records before Next.
+type Checkpoint struct {
+	Next     azuretiller.Offset
+	Revision azuretiller.Revision
+	Roster   azuretiller.Revision
+	Branches map[string]map[string]string
+	Members  []azuretiller.VM
+	Verdicts []Verdict
+	Touches  []Touch
+}
+
+// Verdict says what became of one record.
+type Verdict struct {
+	ID       string
+	Kind     string
+	Offset   azuretiller.Offset
+	Accepted bool
+	Reason   string
+	Operator string
+	Comment  string
+	Paths    []string
+}
+
+// Touch is the last accepted change of one branch.
+type Touch struct {
+	Path     string
+	Offset   azuretiller.Offset
+	Operator string
+}
+
+// Kind returns "edit".
+func (Edit) Kind() string { return "edit" }
+
+// Kind returns "join".
+func (Join) Kind() string { return "join" }
+
+// Kind returns "removal".
+func (Removal) Kind() string { return "removal" }
+
+// Kind returns "checkpoint".
+func (Checkpoint) Kind() string { return "checkpoint" }
--- /dev/null
+++ b/pkg/settings/doc.go
@@ -0,0 +1,2 @@
+// Package settings reads and validates the settings file of one VM.
+package settings
--- /dev/null
+++ b/pkg/systemclock/clock.go
@@ -0,0 +1,12 @@
+package systemclock
+
+import "time"
+
+// Clock tells the time of the operating system.
+type Clock struct{}
+
+// New returns the clock.
+func New() Clock { return Clock{} }
+
+// Now returns the wall time with its monotonic reading.
+func (Clock) Now() time.Time { return time.Now() }
--- /dev/null
+++ b/pkg/systemclock/doc.go
@@ -0,0 +1,2 @@
+// Package systemclock is the clock of a running process.
+package systemclock
--- /dev/null
+++ b/pkg/timer/doc.go
@@ -0,0 +1,2 @@
+// Package timer is the one source of periodic events of a process.
+package timer
--- /dev/null
+++ b/pkg/vmprocess/process.go
@@ -0,0 +1,72 @@
+package vmprocess
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
+	client "github.com/prometheus/client_golang/prometheus"
+	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+
+	"github.com/azuretiller/azuretiller/pkg/common"
+	"github.com/azuretiller/azuretiller/pkg/node"
+	"github.com/azuretiller/azuretiller/pkg/operator"
+	"github.com/azuretiller/azuretiller/pkg/platform"
+	"github.com/azuretiller/azuretiller/pkg/settings"
+	"github.com/azuretiller/azuretiller/pkg/systemclock"
+)
+
+const metricsInterval = time.Second
+
+// Process is one VM with its sockets.
+type Process struct {
+	node      *node.Node
+	listeners node.Listeners
+	operators *operator.Handler
+	metrics   interface{ Close() error }
+}
+
+// New opens the sockets of a VM; nothing is served until Run.
+func New(ctx context.Context, s settings.Settings, logger log.Interface) (*Process, error) {
+	var l node.Listeners
+	var err error
+	var config net.ListenConfig
+	for _, socket := range []struct {
+		into    *net.Listener
+		address string
+	}{{&l.Caller, s.VM.Caller}, {&l.Peer, s.VM.Peer}, {&l.Operator, s.VM.Operator}} {
+		*socket.into, err = config.Listen(ctx, "tcp", socket.address)
+		if err != nil {
+			return nil, errors.Wrap(err, "open socket")
+		}
+	}
+	registry := client.NewRegistry()
+	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:         "azuretiller",
+		CachedReporter: reporter,
+		Separator:      prometheus.DefaultSeparator,
+		// The library's own metrics have names that the reporter refuses.
+		OmitCardinalityMetrics: true,
+	}, metricsInterval)
+	c := &common.Common{Log: logger, Clock: systemclock.New(), Metrics: scope}
+	n := node.New(c, s, platform.New(s.Platform.URL, s.Platform.Token))
+	return &Process{
+		node:      n,
+		listeners: l,
+		operators: operator.New(n, s.Token, reporter.HTTPHandler()),
+		metrics:   closer,
+	}, nil
+}
+
+// Run serves until the context ends and the VM has drained.
+func (p *Process) Run(ctx context.Context) error {
+	defer func() { _ = p.metrics.Close() }()
+	return p.node.Run(ctx, p.listeners, p.operators)
+}
+
+// Node returns the VM.
+func (p *Process) Node() *node.Node { return p.node }
--- /dev/null
+++ b/pkg/wire/doc.go
@@ -0,0 +1,2 @@
+// Package wire reads and writes the messages on a stream between two VMs.
+package wire
