--- a/pkg/ratehome/home.go
+++ b/pkg/ratehome/home.go
@@ -71,6 +71,23 @@
 	for len(h.history) > maxHistory || len(h.history) > 1 && now.Sub(h.history[1].since) > keepHistory {
 		h.history = h.history[1:]
 	}
+	h.dropLost()
+}
+
+// dropLost forgets the buckets of shares that this VM no longer holds, so that none fills in the meantime
+// for the case that the share comes back.
+func (h *Home) dropLost() {
+	newest := h.history[len(h.history)-1]
+	for id := range h.buckets {
+		team, ok := newest.config.Teams[id]
+		if !ok || !h.holds(team, newest.members) {
+			delete(h.buckets, id)
+		}
+	}
+}
+
+func (h *Home) holds(team config.Team, members []azuretiller.VM) bool {
+	return slices.ContainsFunc(Holders(team, members), func(vm azuretiller.VM) bool { return vm.ID == h.self })
 }
 
 // sameVMs compares the names, as only they decide who holds a share.
@@ -150,7 +167,7 @@
 		if !ok {
 			t = team
 		}
-		if !slices.ContainsFunc(Holders(t, h.history[i].members), func(vm azuretiller.VM) bool { return vm.ID == h.self }) {
+		if !h.holds(t, h.history[i].members) {
 			break
 		}
 		since = h.history[i].since
