Settle changes by majority before anyone builds on them

The rule asked only the pollers of VMs that are not down, and nobody who knew of the edit was among them.

Change: a VM goes on without the log only while most of the roster failed to read it, and an edit is reported as accepted, and a share of a rate taken over or raised, only once most of the roster has applied it. The two majorities share a VM, so they exclude each other after the limit of 4 s. Heartbeats carry a bitmap of who has applied the newest change until it is settled, and one byte a VM for failures to read while there are any.

Ruled out: counting only pollers of all zones, as the VMs that know may be down in the others' eyes.

--- a/pkg/control/beats.go
+++ b/pkg/control/beats.go
@@ -11,13 +11,18 @@
 
 // Beat returns what this VM tells others about itself.
 func (s *State) Beat(now time.Time) Beat {
+	version, settled := s.settlement.Version()
 	return Beat{
 		VM:          s.self.ID,
 		Incarnation: s.self.Incarnation,
 		Next:        s.journal.Next(),
 		Age:         s.Age(now),
 		Accusations: s.monitor.Accusations(now),
-		Outages:     s.view.Outages(now, s.params.Limit),
+		Roster:      s.journal.RosterRevision(),
+		Version:     version,
+		Settled:     settled,
+		Known:       s.settlement.Known(),
+		Outages:     s.view.Ages(s.settlement.Members(), now, s.params.Limit),
 	}
 }
 
@@ -54,18 +59,31 @@
 	s.monitor.Heard(b.VM, b.Incarnation, now)
 	s.monitor.Merge(b.Accusations, now)
 	effects := s.membershipChanged(now)
-	if !sent.IsZero() {
-		s.takeOutages(b, sent)
-	}
 	if b.Next > s.journal.Next() {
 		return append(effects, s.fetch(b.VM, now)...)
 	}
+	effects = append(effects, s.takeSettlement(b, now)...)
 	if !sent.IsZero() {
+		s.takeOutages(b, sent)
 		s.completeThrough(b.Next, b.Age, sent)
 	}
 	return effects
 }
 
+func (s *State) takeSettlement(b Beat, now time.Time) []Effect {
+	before := s.settlement.Settled()
+	known := b.Known
+	if b.Roster != s.journal.RosterRevision() {
+		known = nil
+	}
+	s.settlement.Merge(b.VM, b.Version, known, b.Settled, now)
+	if before || !s.settlement.Settled() {
+		return nil
+	}
+	s.dirty = true
+	return s.confirm()
+}
+
 func (s *State) fetch(from azuretiller.VMID, now time.Time) []Effect {
 	peer, ok := s.journal.Member(from)
 	if !ok || s.fetching && now.Before(s.fetchBy) {
@@ -76,12 +94,12 @@
 	return []Effect{Fetch{Peer: peer, From: s.journal.Next()}}
 }
 
-// takeOutages counts the ages from when this VM asked, so that no outage seems more recent than it was.
+// takeOutages counts the ages from when this VM asked, so that no outage seems more recent than it was. It is called only
+// when the sender has applied no more than this VM, so that no VM that knows of a newer change counts as cut off from it.
 func (s *State) takeOutages(b Beat, sent time.Time) {
-	for _, o := range b.Outages {
-		if o.VM != s.self.ID {
-			s.view.Failed(o.VM, sent.Add(-o.Age))
-			s.dirty = true
-		}
+	if b.Roster != s.journal.RosterRevision() || len(b.Outages) == 0 {
+		return
 	}
+	s.view.MergeAges(s.settlement.Members(), b.Outages, sent)
+	s.dirty = true
 }
--- a/pkg/control/event.go
+++ b/pkg/control/event.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/azuretiller/azuretiller"
-	"github.com/azuretiller/azuretiller/pkg/freshness"
 	"github.com/azuretiller/azuretiller/pkg/membership"
 	"github.com/azuretiller/azuretiller/pkg/record"
 )
@@ -44,7 +43,15 @@
 	// Age is the time since the sender's view was complete, and negative when it never was.
 	Age         time.Duration
 	Accusations []membership.Accusation
-	Outages     []freshness.Outage
+	// Roster is the revision of the roster that the positions in Known and Outages refer to.
+	Roster azuretiller.Revision
+	// Version is the newest change that the sender has applied, and Settled the newest that it knows to be settled.
+	Version azuretiller.Revision
+	Settled azuretiller.Revision
+	// Known is the bitmap of the VMs that have applied Version; nil once it is settled.
+	Known []byte
+	// Outages are the ages of the VMs' last failures to read the log; nil when there is none.
+	Outages []byte
 }
 
 // BeatReceived is a heartbeat that another VM sent to this one.
--- a/pkg/control/log.go
+++ b/pkg/control/log.go
@@ -89,7 +89,8 @@
 	s.journal = restored
 	s.recent = nil
 	s.rosterChanged(now)
-	return []Effect{Notice{Name: "checkpoint restored", Fields: map[string]any{"next": c.Next}}}
+	effects := []Effect{Notice{Name: "checkpoint restored", Fields: map[string]any{"next": c.Next}}}
+	return append(effects, s.advance(now)...)
 }
 
 // applyAll takes the entries that follow the applied ones and leaves out those that are already applied.
@@ -111,7 +112,7 @@
 	if s.journal.RosterRevision() != roster {
 		s.rosterChanged(now)
 	}
-	return effects
+	return append(effects, s.advance(now)...)
 }
 
 func (s *State) remember(entry azuretiller.Entry) {
@@ -131,10 +132,39 @@
 	effects := []Effect{Notice{Name: "record applied", Fields: map[string]any{
 		"id": v.ID, "kind": v.Kind, "offset": v.Offset, "accepted": v.Accepted, "reason": v.Reason,
 	}}}
-	if _, ok := s.pending[v.ID]; ok {
-		delete(s.pending, v.ID)
+	if _, ok := s.pending[v.ID]; !ok {
+		return effects
+	}
+	delete(s.pending, v.ID)
+	if v.Accepted {
+		s.unconfirmed = append(s.unconfirmed, v)
+		return effects
+	}
+	return append(effects, Resolved{Verdict: v})
+}
+
+// advance notes the newest change after records were applied.
+func (s *State) advance(now time.Time) []Effect {
+	version := max(s.journal.Revision(), s.journal.RosterRevision())
+	var ids []azuretiller.VMID
+	for _, vm := range s.journal.Members() {
+		ids = append(ids, vm.ID)
+	}
+	s.settlement.Advance(version, ids, now)
+	return s.confirm()
+}
+
+// confirm tells operators that their edits are accepted once most VMs have applied them, since until then
+// those VMs could still hold the log to be out for all.
+func (s *State) confirm() []Effect {
+	if !s.settlement.Settled() {
+		return nil
+	}
+	var effects []Effect
+	for _, v := range s.unconfirmed {
 		effects = append(effects, Resolved{Verdict: v})
 	}
+	s.unconfirmed = nil
 	return effects
 }
 
--- a/pkg/control/reduce.go
+++ b/pkg/control/reduce.go
@@ -8,6 +8,7 @@
 	"github.com/azuretiller/azuretiller"
 	"github.com/azuretiller/azuretiller/pkg/placement"
 	"github.com/azuretiller/azuretiller/pkg/record"
+	"github.com/azuretiller/azuretiller/pkg/settlement"
 	"github.com/azuretiller/azuretiller/pkg/snapshot"
 	"github.com/azuretiller/azuretiller/pkg/topology"
 )
@@ -66,6 +67,7 @@
 	members := s.journal.Members()
 	live := s.live(members)
 	c := s.journal.Config()
+	version, settled := s.settlement.Version()
 	return []Effect{Publish{Snapshot: &snapshot.Snapshot{
 		Self:           s.self,
 		Ready:          s.ready,
@@ -81,11 +83,20 @@
 		Pollers:        s.pollers,
 		Leaving:        s.leaving,
 		CompleteAt:     s.view.CompleteAt(),
-		OutSince:       s.view.OutSince(s.pollers),
+		OutSince:       s.outSince(),
+		Version:        version,
+		Settled:        settled,
+		SettledAt:      s.settlement.SettledAt(),
 		Limit:          s.params.Limit,
 	}}}
 }
 
+// outSince returns the latest time after which most of the roster failed to read the log.
+func (s *State) outSince() time.Time {
+	members := s.settlement.Members()
+	return s.view.OutSince(members, settlement.Majority(len(members)))
+}
+
 // live returns the members that may be homes and stand in address answers.
 func (s *State) live(members []azuretiller.VM) []azuretiller.VM {
 	zones := s.journal.Config().Zones
--- a/pkg/control/state.go
+++ b/pkg/control/state.go
@@ -9,6 +9,7 @@
 	"github.com/azuretiller/azuretiller/pkg/journal"
 	"github.com/azuretiller/azuretiller/pkg/membership"
 	"github.com/azuretiller/azuretiller/pkg/record"
+	"github.com/azuretiller/azuretiller/pkg/settlement"
 )
 
 // State is the control state of one VM.
@@ -22,8 +23,12 @@
 	scan    []azuretiller.Entry
 	view    *freshness.View
 	monitor *membership.Monitor
-	leaving bool
-	ready   bool
+	// settlement follows who has applied the newest change.
+	settlement *settlement.Tracker
+	// unconfirmed holds verdicts on accepted proposals of this VM until they are settled.
+	unconfirmed []record.Verdict
+	leaving     bool
+	ready       bool
 
 	reading     bool
 	nextRead    time.Time
@@ -59,14 +64,15 @@
 // New returns the state of a VM that has read nothing; the seed drives its random choices.
 func New(self azuretiller.VM, params Params, seed uint64) *State {
 	return &State{
-		self:      self,
-		params:    params,
-		random:    rand.New(rand.NewPCG(seed, uint64(self.Incarnation))),
-		journal:   journal.New(),
-		view:      freshness.New(),
-		monitor:   membership.New(self.ID, params.Membership),
-		downSince: map[azuretiller.VMID]time.Time{},
-		pending:   map[string]pending{},
+		self:       self,
+		params:     params,
+		random:     rand.New(rand.NewPCG(seed, uint64(self.Incarnation))),
+		journal:    journal.New(),
+		view:       freshness.New(),
+		monitor:    membership.New(self.ID, params.Membership),
+		settlement: settlement.New(self.ID),
+		downSince:  map[azuretiller.VMID]time.Time{},
+		pending:    map[string]pending{},
 	}
 }
 
--- a/pkg/freshness/view.go
+++ b/pkg/freshness/view.go
@@ -1,7 +1,6 @@
 package freshness
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -9,11 +8,12 @@
 	"github.com/azuretiller/azuretiller/pkg/strict"
 )
 
-// Outage says that a VM could not read the log; Age is the time since it last tried.
-type Outage struct {
-	VM  azuretiller.VMID
-	Age time.Duration
-}
+const (
+	// AgeStep is the unit of ages that VMs tell each other.
+	AgeStep = 100 * time.Millisecond
+	// NoAge stands for a VM that has not failed to read the log lately.
+	NoAge = 255
+)
 
 // View is one VM's knowledge about its own view of the log.
 type View struct {
@@ -48,30 +48,49 @@
 	delete(v.outages, vm)
 }
 
-// OutSince returns the earliest of the last failures of the given VMs, and the zero time when one of them has not failed.
-// While that time is recent the log is out for all of them.
-func (v *View) OutSince(vms []azuretiller.VMID) time.Time {
-	var earliest time.Time
+// OutSince returns the latest time after which at least count of the given VMs failed to read the log, and the zero time
+// when fewer have. While that time is recent the log is out for as many of them.
+func (v *View) OutSince(vms []azuretiller.VMID, count int) time.Time {
+	var times []time.Time
+	for _, vm := range vms {
+		if at, ok := v.outages[vm]; ok {
+			times = append(times, at)
+		}
+	}
+	if len(times) < count || count < 1 {
+		return time.Time{}
+	}
+	slices.SortFunc(times, func(a, b time.Time) int { return b.Compare(a) })
+	return times[count-1]
+}
+
+// Ages returns the ages of the failures of the given VMs in steps of AgeStep, rounded up, or nil when there is none
+// younger than most. NoAge stands for a VM without one.
+func (v *View) Ages(vms []azuretiller.VMID, now time.Time, most time.Duration) []byte {
+	out := make([]byte, len(vms))
+	any := false
 	for i, vm := range vms {
+		out[i] = NoAge
 		at, ok := v.outages[vm]
-		if !ok {
-			return time.Time{}
-		}
-		if i == 0 || at.Before(earliest) {
-			earliest = at
+		if age := strict.Elapsed(now, at); ok && age < most {
+			out[i] = byte(min(int64((age+AgeStep-1)/AgeStep), NoAge-1))
+			any = true
 		}
 	}
-	return earliest
+	if !any {
+		return nil
+	}
+	return out
 }
 
-// Outages returns the failures younger than most, to be passed on, in a fixed order.
-func (v *View) Outages(now time.Time, most time.Duration) []Outage {
-	var out []Outage
-	for _, vm := range slices.Sorted(maps.Keys(v.outages)) {
-		age := strict.Elapsed(now, v.outages[vm])
-		if age < most {
-			out = append(out, Outage{VM: vm, Age: age})
+// MergeAges takes in ages that another VM told of the given VMs, counted from a time that is not later than its word.
+func (v *View) MergeAges(vms []azuretiller.VMID, ages []byte, reference time.Time) {
+	if len(ages) != len(vms) {
+		return
+	}
+	for i, vm := range vms {
+		if ages[i] != NoAge {
+			v.Failed(vm, reference.Add(-time.Duration(ages[i])*AgeStep))
 		}
 	}
-	return out
 }
--- a/pkg/node/control.go
+++ b/pkg/node/control.go
@@ -108,6 +108,9 @@
 	}
 	n.rateMu.Lock()
 	n.rates.Observe(s.Members, s.Config, n.common.Clock.Now())
+	if s.Settled == s.Version {
+		n.rates.Settled(s.SettledAt)
+	}
 	n.rateMu.Unlock()
 	n.isReady.Do(func() { close(n.ready) })
 }
--- a/pkg/peers/codec.go
+++ b/pkg/peers/codec.go
@@ -5,7 +5,6 @@
 
 	"github.com/azuretiller/azuretiller"
 	"github.com/azuretiller/azuretiller/pkg/control"
-	"github.com/azuretiller/azuretiller/pkg/freshness"
 	"github.com/azuretiller/azuretiller/pkg/membership"
 	"github.com/azuretiller/azuretiller/pkg/once"
 	"github.com/azuretiller/azuretiller/pkg/peerpb"
@@ -22,6 +21,11 @@
 		Incarnation: uint64(b.Incarnation),
 		Next:        uint64(b.Next),
 		AgeUs:       b.Age.Microseconds(),
+		Roster:      uint64(b.Roster),
+		Version:     uint64(b.Version),
+		Settled:     uint64(b.Settled),
+		Known:       b.Known,
+		Outages:     b.Outages,
 	}
 	for _, a := range b.Accusations {
 		out.Accusations = append(out.Accusations, &peerpb.Accusation{
@@ -31,9 +35,6 @@
 			AgeUs:       a.Age.Microseconds(),
 		})
 	}
-	for _, o := range b.Outages {
-		out.Outages = append(out.Outages, &peerpb.Outage{Vm: string(o.VM), AgeUs: o.Age.Microseconds()})
-	}
 	return out
 }
 
@@ -44,6 +45,11 @@
 		Incarnation: azuretiller.Incarnation(m.GetIncarnation()),
 		Next:        azuretiller.Offset(m.GetNext()),
 		Age:         micros(m.GetAgeUs()),
+		Roster:      azuretiller.Revision(m.GetRoster()),
+		Version:     azuretiller.Revision(m.GetVersion()),
+		Settled:     azuretiller.Revision(m.GetSettled()),
+		Known:       m.GetKnown(),
+		Outages:     m.GetOutages(),
 	}
 	if m.GetAgeUs() < 0 {
 		b.Age = -1
@@ -56,9 +62,6 @@
 			Age:         micros(a.GetAgeUs()),
 		})
 	}
-	for _, o := range m.GetOutages() {
-		b.Outages = append(b.Outages, freshness.Outage{VM: azuretiller.VMID(o.GetVm()), Age: micros(o.GetAgeUs())})
-	}
 	return b
 }
 
--- a/pkg/randomtest/main.go
+++ b/pkg/randomtest/main.go
@@ -4,6 +4,9 @@
 	"flag"
 	"os"
 	"testing"
+
+	// The flags that are set below are the ones of this library.
+	_ "pgregory.net/rapid"
 )
 
 const (
@@ -12,7 +15,7 @@
 	// seedVariable is the environment variable that sets the first seed.
 	seedVariable  = "SOAK_SEED"
 	defaultSeed   = "1"
-	defaultChecks = "100"
+	defaultChecks = "40"
 )
 
 // Main runs the tests of a package with fixed seeds, unless the environment asks for others.
--- a/pkg/ratehome/home.go
+++ b/pkg/ratehome/home.go
@@ -29,7 +29,9 @@
 
 // epoch is a time during which neither the roster nor the settings changed, as this VM saw it.
 type epoch struct {
-	since   time.Time
+	since time.Time
+	// settled is when this VM learnt that most VMs know of the epoch or of a later one, or zero.
+	settled time.Time
 	members []azuretiller.VM
 	config  *config.Config
 }
@@ -90,6 +92,15 @@
 	return slices.ContainsFunc(Holders(team, members), func(vm azuretiller.VM) bool { return vm.ID == h.self })
 }
 
+// Settled notes that most VMs know of the newest epoch.
+func (h *Home) Settled(at time.Time) {
+	for i := range h.history {
+		if h.history[i].settled.IsZero() {
+			h.history[i].settled = at
+		}
+	}
+}
+
 // sameVMs compares the names, as only they decide who holds a share.
 func sameVMs(a, b []azuretiller.VM) bool {
 	return slices.EqualFunc(a, b, func(x, y azuretiller.VM) bool {
@@ -107,8 +118,8 @@
 		return Grant{Code: azuretiller.CodeUnknownKey}
 	}
 	since, ok := h.heldSince(team)
-	if !ok {
-		return Grant{Code: azuretiller.CodeRateUnavailable}
+	if !ok || since.IsZero() {
+		return Grant{Code: azuretiller.CodeRateUnavailable, RetryAfter: h.limit}
 	}
 	b := h.bucket(team, since.Add(h.limit+drift), now)
 	b.Settle(d.Holder, d.Spent, d.Returned, now)
@@ -138,12 +149,8 @@
 func (h *Home) safeLimits(team config.Team, now time.Time) (rate, burst azuretiller.Millitokens) {
 	rate, burst = shareOf(team)
 	for i, e := range h.history {
-		ended := now
-		if i+1 < len(h.history) {
-			ended = h.history[i+1].since
-		}
 		older, ok := e.config.Teams[team.ID]
-		if !ok || now.Sub(ended) > h.limit+drift {
+		if !ok || h.superseded(i, now) {
 			continue
 		}
 		r, b := shareOf(older)
@@ -158,7 +165,17 @@
 	return team.Rate / n, team.Burst / n
 }
 
-// heldSince returns the start of the unbroken time in which this VM held the share, and whether it holds it.
+// superseded reports whether no VM can act on an epoch any more, because most know of a later one for long enough.
+func (h *Home) superseded(i int, now time.Time) bool {
+	if i+1 >= len(h.history) {
+		return false
+	}
+	settled := h.history[i+1].settled
+	return !settled.IsZero() && now.Sub(settled) > h.limit+drift
+}
+
+// heldSince returns when the unbroken time in which this VM held the share was settled, zero if it is not, and whether
+// this VM holds the share.
 func (h *Home) heldSince(team config.Team) (time.Time, bool) {
 	var since time.Time
 	held := false
@@ -170,7 +187,7 @@
 		if !h.holds(t, h.history[i].members) {
 			break
 		}
-		since = h.history[i].since
+		since = h.history[i].settled
 		held = true
 	}
 	return since, held
--- a/pkg/snapshot/snapshot.go
+++ b/pkg/snapshot/snapshot.go
@@ -31,14 +31,19 @@
 	Leaving bool
 	// CompleteAt is when the view of the log was last known to be complete.
 	CompleteAt time.Time
-	// OutSince is the earliest of the pollers' last failures to read the log, or zero.
+	// OutSince is the latest time after which most of the roster failed to read the log, or zero.
 	OutSince time.Time
+	// Version is the newest change that this VM has applied, and Settled the newest that most VMs are known to have applied.
+	Version azuretiller.Revision
+	Settled azuretiller.Revision
+	// SettledAt is when this VM learnt that Settled is settled.
+	SettledAt time.Time
 	// Limit is the age at which neither of these times counts.
 	Limit time.Duration
 }
 
 // Current reports whether the configuration may still be acted on: the view was complete a short while ago,
-// or the log was out for all pollers a short while ago, so that nothing can have been accepted.
+// or the log was out for most VMs a short while ago, so that no change can have been settled.
 func (s *Snapshot) Current(now time.Time) bool {
 	return s.recent(now, s.CompleteAt) || s.recent(now, s.OutSince)
 }
