Measure what VMs cost and how the shared decisions fare

Cause: no figure stood behind the sizes that the fleet is built towards.

Change: `standin capacity` measures idle VMs at 8 to 64 in one process, the settings at the target's size, single decisions and requests; `make bench` prints detection, cold start, fairness, membership, withdrawals, outages and wrongful refusals beside their targets. A holder counts tokens it gave out against the burst until it hears that they were spent, so full shares did not fill for half a second after each request. Counting them as spent when granted was ruled out: an answer under way would come on top of a full burst.

--- a/Makefile
+++ b/Makefile
@@ -32,3 +32,18 @@
 
 check-generated: generate
 	git diff --exit-code -- pkg/journalpb pkg/peerpb docs
+
+# Prints each measured figure beside its target and its baseline.
+bench:
+	@echo "| | figure | value | target | baseline |"
+	@FIGURES=1 go test -count=1 -p 1 -timeout 30m -run 'Figure' -v ./pkg/pool ./pkg/control ./pkg/ratelimit 2>&1 | grep -E '^(FIGURE|---.*FAIL|FAIL|panic)'
+
+# Measures the slopes again and fails if the page's figures no longer follow from them.
+capacity: build
+	bin/standin capacity --check docs/CAPACITY.md
+
+# Runs the randomised tests with many more seeds: make soak SEED=7 CHECKS=10000
+SEED ?= 1
+CHECKS ?= 2000
+soak:
+	SOAK_SEED=$(SEED) SOAK_CHECKS=$(CHECKS) go test -count=1 -timeout 3h ./pkg/bucket ./pkg/ratehome ./pkg/pool ./pkg/control
--- a/cmd/standin/pkg/app/app.go
+++ b/cmd/standin/pkg/app/app.go
@@ -14,6 +14,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/azuretiller/azuretiller/cmd/standin/pkg/backend"
+	"github.com/azuretiller/azuretiller/cmd/standin/pkg/capacity"
 	"github.com/azuretiller/azuretiller/cmd/standin/pkg/demo"
 	"github.com/azuretiller/azuretiller/cmd/standin/pkg/docs"
 	"github.com/azuretiller/azuretiller/cmd/standin/pkg/logserver"
@@ -43,7 +44,7 @@
 	}
 	root.SetOut(out)
 	root.SetErr(errOut)
-	root.AddCommand(platformCommand(), backendCommand(), demoCommand(errOut), docsCommand())
+	root.AddCommand(platformCommand(), backendCommand(), demoCommand(errOut), capacityCommand(), docsCommand())
 	return root
 }
 
@@ -118,6 +119,24 @@
 	return cmd
 }
 
+func capacityCommand() *cobra.Command {
+	var page string
+	cmd := &cobra.Command{
+		Use:   "capacity",
+		Short: "Measure what VMs cost at several sizes; exits 1 when the page no longer follows from it",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			slopes, err := capacity.Measure(cmd.Context(), cmd.OutOrStdout())
+			if err != nil || page == "" {
+				return err
+			}
+			return capacity.Check(page, slopes)
+		},
+	}
+	cmd.Flags().StringVar(&page, "check", "", "page whose figures are compared")
+	return cmd
+}
+
 func docsCommand() *cobra.Command {
 	return &cobra.Command{
 		Use:    "docs FOLDER",
--- /dev/null
+++ b/cmd/standin/pkg/capacity/parts.go
@@ -0,0 +1,192 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/azuretiller/azuretiller"
+	"github.com/azuretiller/azuretiller/cmd/standin/pkg/demo"
+	"github.com/azuretiller/azuretiller/pkg/config"
+	"github.com/azuretiller/azuretiller/pkg/journal"
+	"github.com/azuretiller/azuretiller/pkg/once"
+	"github.com/azuretiller/azuretiller/pkg/ratehome"
+	"github.com/azuretiller/azuretiller/pkg/record"
+	"github.com/azuretiller/azuretiller/pkg/topology"
+	"github.com/azuretiller/azuretiller/pkg/tree"
+)
+
+// The sizes of the target.
+const (
+	targetVMs      = 540
+	targetTeams    = 26000
+	targetRoutes   = 4400
+	targetServices = 210
+	targetWorkers  = 6500
+	targetZones    = 5
+)
+
+func heap() float64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
+
+// targetTree returns settings of a part of the target's size.
+func targetTree(part float64) *tree.Tree {
+	branches := map[string]map[string]string{}
+	for i := range int(targetTeams * part) {
+		branches[fmt.Sprintf("/teams/team%d/keys/%064x", i, i)] = map[string]string{"label": `"k"`}
+	}
+	for i := range int(targetRoutes * part) {
+		service := i % targetServices
+		branches[fmt.Sprintf("/services/s%d/routes/r%d", service, i)] = map[string]string{"prefix": fmt.Sprintf(`"/s%d/r%d"`, service, i)}
+	}
+	for i := range int(targetWorkers * part) {
+		path := fmt.Sprintf("/services/s%d/servers/10.%d.%d.1:80", i%targetServices, i/250, i%250)
+		branches[path] = map[string]string{"zone": fmt.Sprintf(`"z%d"`, i/targetServices%targetZones)}
+	}
+	return tree.FromBranches(branches)
+}
+
+func targetMembers() []azuretiller.VM {
+	var out []azuretiller.VM
+	for i := range targetVMs {
+		out = append(out, azuretiller.VM{
+			ID:       azuretiller.VMID(fmt.Sprintf("vm-%03d", i)),
+			Zone:     azuretiller.Zone(fmt.Sprintf("z%d", i%targetZones)),
+			Caller:   "10.0.0.1:80",
+			Peer:     "10.0.0.1:81",
+			Operator: "10.0.0.1:82",
+		})
+	}
+	return out
+}
+
+// settings measures the settings at the target's size.
+func settings() []Slope {
+	before := heap()
+	t := targetTree(1)
+	c, err := config.Compile(t)
+	if err != nil {
+		panic(errors.Wrap(err, "compile the target's settings"))
+	}
+	memory := heap() - before
+	start := time.Now()
+	_, _, err = journal.Try(t, []azuretiller.Change{{Kind: azuretiller.ChangeSet, Path: "/teams/team7", Field: "rate", Value: "5"}})
+	if err != nil {
+		panic(errors.Wrap(err, "edit the target's settings"))
+	}
+	edit := time.Since(start)
+	members := targetMembers()
+	start = time.Now()
+	top := topology.Build(c, members)
+	build := time.Since(start)
+	data, err := record.Encode(record.Record{ID: "x", Body: record.Checkpoint{Branches: t.Branches(), Members: members}})
+	if err != nil {
+		panic(errors.Wrap(err, "encode the target's checkpoint"))
+	}
+	pools := 0
+	for _, p := range top {
+		pools += len(p)
+	}
+	runtime.KeepAlive(c)
+	return []Slope{
+		{"settings_heap", memory / 1e6, "MB at the target's size"},
+		{"edit_time", edit.Seconds() * 1e3, "ms to apply one edit at the target's size"},
+		{"topology_time", build.Seconds() * 1e3, "ms to place all pools at the target's size"},
+		{"checkpoint_size", float64(len(data)) / 1e6, "MB at the target's size"},
+		{"pools", float64(pools), "pools at the target's size"},
+	}
+}
+
+// decisions measures the shared decisions one by one.
+func decisions() []Slope {
+	members := targetMembers()
+	c := &config.Config{Teams: map[azuretiller.TeamID]config.Team{}}
+	const teams = 1000
+	for i := range teams {
+		id := azuretiller.TeamID(fmt.Sprint("team", i))
+		c.Teams[id] = config.Team{ID: id, Rate: 1e6, Burst: 1e6}
+	}
+	now := time.Now()
+	held := map[azuretiller.VMID]*ratehome.Home{}
+	before := heap()
+	start := time.Now()
+	draws := drawAll(c, members, held, now)
+	first := time.Since(start) / time.Duration(draws)
+	memory := (heap() - before) / float64(draws)
+	start = time.Now()
+	drawAll(c, members, held, now)
+	// Both rounds find the holders, which an entry VM does once for each roster.
+	find := findAll(c, members) / time.Duration(draws)
+	again := time.Since(start)/time.Duration(draws) - 2*find
+	runtime.KeepAlive(held)
+	return []Slope{
+		{"first_draw_time", float64((first - find).Nanoseconds()) / 1e3, "us the first draw from a share with 540 VMs"},
+		{"draw_time", float64(max(again, 0).Nanoseconds()) / 1e3, "us each further draw"},
+		{"share_heap", memory, "bytes a share of a rate, with its home's part"},
+		{"request_id_heap", requestIDs(), "bytes a remembered request id with a small answer"},
+	}
+}
+
+func findAll(c *config.Config, members []azuretiller.VM) time.Duration {
+	start := time.Now()
+	for _, team := range c.Teams {
+		ratehome.Holders(team, members)
+	}
+	return time.Since(start)
+}
+
+// drawAll draws once from each share of each team and returns the number of draws.
+func drawAll(c *config.Config, members []azuretiller.VM, held map[azuretiller.VMID]*ratehome.Home, now time.Time) int {
+	draws := 0
+	for id, team := range c.Teams {
+		for _, vm := range ratehome.Holders(team, members) {
+			h := held[vm.ID]
+			if h == nil {
+				h = ratehome.New(vm.ID, time.Second)
+				h.Observe(members, c, now)
+				h.Settled(now)
+				held[vm.ID] = h
+			}
+			h.Draw(ratehome.Draw{Team: id, Holder: "vm-000", Want: 1000, Lifetime: time.Second}, true, now.Add(time.Minute))
+			draws++
+		}
+	}
+	return draws
+}
+
+func requestIDs() float64 {
+	const count = 20000
+	before := heap()
+	now := time.Now()
+	r := once.New(now)
+	for i := range count {
+		key := once.Key{Team: "team", ID: azuretiller.RequestID(fmt.Sprintf("%036d", i))}
+		r.Reserve(key, "owner", make([]byte, 32), now)
+		r.Finish(key, "owner", once.Answer{Code: azuretiller.CodeOK, Status: 200, Body: make([]byte, 200), Kept: true}, now)
+	}
+	memory := (heap() - before) / count
+	runtime.KeepAlive(r)
+	return memory
+}
+
+// requests measures what a request costs the fleet beyond what it costs callers and backend servers.
+func requests(ctx context.Context) ([]Slope, error) {
+	cost, err := demo.MeasureRequests(ctx)
+	if err != nil {
+		return nil, errors.Wrap(err, "measure requests")
+	}
+	return []Slope{
+		{"request_cpu", cost.CPU.Seconds() * 1e6, "us of processor time a request, all VMs together"},
+		{"added_p50", cost.P50.Seconds() * 1e3, "ms added at p50, through the own VM or another one"},
+		{"added_p99", cost.P99.Seconds() * 1e3, "ms added at p99"},
+		{"local_p50", cost.LocalP50.Seconds() * 1e3, "ms added at p50 when the entry VM is the home"},
+		{"remote_p50", cost.RemoteP50.Seconds() * 1e3, "ms added at p50 when another VM is the home"},
+	}, nil
+}
--- a/cmd/standin/pkg/demo/demo.go
+++ b/cmd/standin/pkg/demo/demo.go
@@ -76,7 +76,7 @@
 	for _, step := range []func() error{
 		func() error { return d.site.startPlatform(ctx) },
 		func() error { return d.site.startServers(ctx, secrets) },
-		func() error { return d.site.startVMs(ctx) },
+		func() error { return d.site.startVMs(ctx, zones(), vmsPerZone) },
 	} {
 		if err := step(); err != nil {
 			return err
--- a/cmd/standin/pkg/demo/site.go
+++ b/cmd/standin/pkg/demo/site.go
@@ -123,9 +123,9 @@
 	return l.Addr().String(), nil
 }
 
-func (s *site) startVMs(ctx context.Context) error {
-	for _, zone := range zones() {
-		for i := range vmsPerZone {
+func (s *site) startVMs(ctx context.Context, zones []string, perZone int) error {
+	for _, zone := range zones {
+		for i := range perZone {
 			conf := settings.Default()
 			conf.VM = azuretiller.VM{ID: azuretiller.VMID(fmt.Sprintf("vm-%s%d", zone, i)), Zone: azuretiller.Zone(zone)}
 			for _, into := range []*string{&conf.VM.Caller, &conf.VM.Peer, &conf.VM.Operator} {
--- a/pkg/config/compile.go
+++ b/pkg/config/compile.go
@@ -29,8 +29,10 @@
 // Compile validates a tree as a whole; the error names the first branch and field that is wrong.
 func Compile(t *tree.Tree) (*Config, error) {
 	c := &compiler{
-		tree:    t,
-		parents: map[string]bool{},
+		tree:     t,
+		parents:  map[string]bool{},
+		defaults: map[string]string{},
+		decoded:  map[string]any{},
 		config: &Config{
 			Teams:    map[azuretiller.TeamID]Team{},
 			Keys:     map[azuretiller.KeyHash]azuretiller.TeamID{},
@@ -39,6 +41,9 @@
 			routes:   map[string][]Route{},
 		},
 	}
+	for _, f := range field.Table() {
+		c.defaults[f.Name] = f.Default
+	}
 	if err := c.run(); err != nil {
 		return nil, err
 	}
@@ -48,6 +53,10 @@
 type compiler struct {
 	tree   *tree.Tree
 	config *Config
+	// defaults are the JSON texts of the fields that no branch on a path sets.
+	defaults map[string]string
+	// decoded caches values by their JSON text.
+	decoded map[string]any
 	// parents has the branches below /teams that have child branches other than their keys.
 	parents map[string]bool
 }
@@ -234,41 +243,32 @@
 	return nil
 }
 
-func (c *compiler) read(path, name string, into any) {
-	raw, _ := c.tree.Lookup(path, name)
-	// Values were checked when they were set, so a failure leaves the zero value only for fields unknown to the table.
-	_ = json.Unmarshal([]byte(raw), into)
-}
-
-func (c *compiler) text(path, name string) string {
-	var v string
-	c.read(path, name, &v)
+// value returns the effective value of a field in the form that its kind has. Most branches share few values,
+// so each text is decoded once.
+func value[T any](c *compiler, path, name string) T {
+	raw, _, ok := c.tree.Set(path, name)
+	if !ok {
+		raw = c.defaults[name]
+	}
+	if known, ok := c.decoded[raw].(T); ok {
+		return known
+	}
+	var v T
+	// Values were checked when they were set.
+	_ = json.Unmarshal([]byte(raw), &v)
+	c.decoded[raw] = v
 	return v
 }
 
-func (c *compiler) words(path, name string) []string {
-	var v []string
-	c.read(path, name, &v)
-	return v
-}
+func (c *compiler) text(path, name string) string { return value[string](c, path, name) }
 
-func (c *compiler) bool(path, name string) bool {
-	var v bool
-	c.read(path, name, &v)
-	return v
-}
+func (c *compiler) words(path, name string) []string { return value[[]string](c, path, name) }
 
-func (c *compiler) count(path, name string) int {
-	var v int
-	c.read(path, name, &v)
-	return v
-}
+func (c *compiler) bool(path, name string) bool { return value[bool](c, path, name) }
 
-func (c *compiler) number(path, name string) float64 {
-	var v float64
-	c.read(path, name, &v)
-	return v
-}
+func (c *compiler) count(path, name string) int { return value[int](c, path, name) }
+
+func (c *compiler) number(path, name string) float64 { return value[float64](c, path, name) }
 
 func (c *compiler) tokens(path, name string) azuretiller.Millitokens {
 	return azuretiller.Millitokens(c.number(path, name) * float64(azuretiller.TokenCost))
--- /dev/null
+++ b/pkg/counting/doc.go
@@ -0,0 +1,2 @@
+// Package counting counts the bytes that pass over connections.
+package counting
--- a/pkg/entry/forward.go
+++ b/pkg/entry/forward.go
@@ -20,8 +20,7 @@
 	// replayBytes is the largest body that can be offered to another pool after one has read it.
 	replayBytes = 64 << 10
 	// mostPools is how many pools a request is offered to.
-	mostPools  = 3
-	frameBytes = 32 << 10
+	mostPools = 3
 	// grace is the time beyond a request's limit after which the home of a pool is given up.
 	grace = 2 * time.Second
 )
@@ -188,8 +187,12 @@
 
 // sendBody sends the request's body in frames; the last one says whether the body is whole.
 func (c *call) sendBody(stream *wire.Stream, body *replay.Body) {
+	if c.request.ContentLength == 0 {
+		_ = stream.WriteFrame(exchange.Frame{End: true, Code: azuretiller.CodeOK})
+		return
+	}
 	reader := body.Reader()
-	buffer := make([]byte, frameBytes)
+	buffer := wire.FrameBuffer(c.request.ContentLength)
 	for {
 		n, err := reader.Read(buffer)
 		if n > 0 {
--- a/pkg/mesh/mesh.go
+++ b/pkg/mesh/mesh.go
@@ -13,6 +13,7 @@
 
 	"github.com/azuretiller/azuretiller"
 	"github.com/azuretiller/azuretiller/pkg/common"
+	"github.com/azuretiller/azuretiller/pkg/counting"
 	"github.com/azuretiller/azuretiller/pkg/exchange"
 	"github.com/azuretiller/azuretiller/pkg/handshake"
 	"github.com/azuretiller/azuretiller/pkg/peerpb"
@@ -41,6 +42,7 @@
 	common    *common.Common
 	handshake *handshake.Handshake
 	handler   Handler
+	bytes     *counting.Counter
 
 	mu    sync.Mutex
 	links map[string]*link
@@ -57,7 +59,7 @@
 
 // New returns a mesh without connections.
 func New(c *common.Common, h *handshake.Handshake, handler Handler) *Mesh {
-	return &Mesh{common: c, handshake: h, handler: handler, links: map[string]*link{}}
+	return &Mesh{common: c, handshake: h, handler: handler, bytes: counting.New(), links: map[string]*link{}}
 }
 
 // Serve accepts connections until the context ends.
@@ -72,7 +74,7 @@
 		if err != nil {
 			return errors.Wrap(err, "accept peer")
 		}
-		go m.accept(ctx, conn)
+		go m.accept(ctx, m.bytes.Wrap(conn))
 	}
 }
 
@@ -169,6 +171,9 @@
 	return l
 }
 
+// Bytes returns the bytes that passed between this VM and the others.
+func (m *Mesh) Bytes() (read, written int64) { return m.bytes.Read(), m.bytes.Written() }
+
 // Close ends all outgoing connections.
 func (m *Mesh) Close() {
 	m.mu.Lock()
@@ -189,6 +194,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "dial peer")
 	}
+	conn = m.bytes.Wrap(conn)
 	if _, err := m.handshake.Dial(conn); err != nil {
 		_ = conn.Close()
 		return nil, errors.Wrapf(err, "greet peer %s", address)
--- a/pkg/node/state.go
+++ b/pkg/node/state.go
@@ -86,6 +86,7 @@
 		d.Keys = len(s.Config.Keys)
 	}
 	d.Servers = n.servers()
+	d.PeerRead, d.PeerWritten = n.mesh.Bytes()
 	n.fillShared(&d)
 	return d
 }
--- a/pkg/operator/types.go
+++ b/pkg/operator/types.go
@@ -88,6 +88,8 @@
 		RequestIDs     int               `json:"request_ids"`
 		CallersRunning int               `json:"callers_running"`
 		PoolsRunning   int               `json:"pools_running"`
+		PeerRead       int64             `json:"peer_read_bytes"`
+		PeerWritten    int64             `json:"peer_written_bytes"`
 	}
 	// Failure is the answer to a call that was refused.
 	Failure struct {
--- a/pkg/poolhome/session.go
+++ b/pkg/poolhome/session.go
@@ -21,7 +21,6 @@
 	replayBytes = 64 << 10
 	// errorBytes is the largest server error that is kept until it is known whether the request is retried.
 	errorBytes = 64 << 10
-	frameBytes = 32 << 10
 )
 
 // session is one request on its way through a pool.
@@ -284,7 +283,7 @@
 
 // copyBody sends the body in frames, of which the last says whether the body is whole.
 func (s *session) copyBody(response *http.Response) (pool.ResultKind, error) {
-	buffer := make([]byte, frameBytes)
+	buffer := wire.FrameBuffer(response.ContentLength)
 	for {
 		n, err := response.Body.Read(buffer)
 		if n > 0 {
--- a/pkg/ratehome/home.go
+++ b/pkg/ratehome/home.go
@@ -25,6 +25,14 @@
 	limit   time.Duration
 	history []epoch
 	buckets map[azuretiller.TeamID]*bucket.Bucket
+	// tenures caches heldSince until the history changes.
+	tenures map[azuretiller.TeamID]tenure
+}
+
+// tenure is the unbroken time in which this VM holds a share.
+type tenure struct {
+	since time.Time
+	held  bool
 }
 
 // epoch is a time during which neither the roster nor the settings changed, as this VM saw it.
@@ -60,7 +68,12 @@
 
 // New returns a home that holds no shares; limit is how long a VM may act on old settings.
 func New(self azuretiller.VMID, limit time.Duration) *Home {
-	return &Home{self: self, limit: limit, buckets: map[azuretiller.TeamID]*bucket.Bucket{}}
+	return &Home{
+		self:    self,
+		limit:   limit,
+		buckets: map[azuretiller.TeamID]*bucket.Bucket{},
+		tenures: map[azuretiller.TeamID]tenure{},
+	}
 }
 
 // Observe takes the roster and the settings that are in force from now on.
@@ -73,6 +86,7 @@
 	for len(h.history) > maxHistory || len(h.history) > 1 && now.Sub(h.history[1].since) > keepHistory {
 		h.history = h.history[1:]
 	}
+	clear(h.tenures)
 	h.dropLost()
 }
 
@@ -97,6 +111,7 @@
 	for i := range h.history {
 		if h.history[i].settled.IsZero() {
 			h.history[i].settled = at
+			clear(h.tenures)
 		}
 	}
 }
@@ -177,6 +192,15 @@
 // heldSince returns when the unbroken time in which this VM held the share was settled, zero if it is not, and whether
 // this VM holds the share.
 func (h *Home) heldSince(team config.Team) (time.Time, bool) {
+	t, ok := h.tenures[team.ID]
+	if !ok {
+		t.since, t.held = h.findTenure(team)
+		h.tenures[team.ID] = t
+	}
+	return t.since, t.held
+}
+
+func (h *Home) findTenure(team config.Team) (time.Time, bool) {
 	var since time.Time
 	held := false
 	for i := len(h.history) - 1; i >= 0; i-- {
--- a/pkg/ratelimit/limiter.go
+++ b/pkg/ratelimit/limiter.go
@@ -24,6 +24,8 @@
 	forgetAfter = time.Minute
 	// avoidFor is how long a holder that did not answer is asked last.
 	avoidFor = 2 * time.Second
+	// soonDemand is the demand in requests a second from which the next draw comes soon.
+	soonDemand = 100
 	// demandMemory is the time over which demand is averaged, in seconds.
 	demandMemory = 0.5
 )
@@ -82,6 +84,9 @@
 	drew := false
 	for {
 		if a.purse.Spend(azuretiller.TokenCost, l.clock.Now()) {
+			if drew {
+				l.confirm(ctx, team.ID, a)
+			}
 			return Decision{Code: azuretiller.CodeOK}
 		}
 		if drew {
@@ -96,6 +101,26 @@
 	}
 }
 
+// confirm tells the holders at once what was spent, unless the next draw will soon do so. A holder counts tokens that
+// it gave out against the burst until it knows them to be spent, so a full share would not fill in the meantime.
+func (l *Limiter) confirm(ctx context.Context, id azuretiller.TeamID, a *account) {
+	if a.demand > soonDemand {
+		return
+	}
+	for _, vm := range a.holders {
+		d := ratehome.Draw{Team: id, Holder: l.self, Spent: a.purse.Settle(vm.ID)}
+		if d.Spent == 0 {
+			continue
+		}
+		go func() {
+			callCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
+			defer cancel()
+			// A word that is lost only makes the tokens count until their lease ends.
+			_, _ = l.drawer.Draw(callCtx, vm, d)
+		}()
+	}
+}
+
 // await waits for the draw that is under way, or makes one and returns true. The lock is held on entry and exit.
 func (a *account) await(ctx context.Context, l *Limiter, team config.Team, s *snapshot.Snapshot) bool {
 	if a.drawing == nil {
--- a/pkg/tree/tree.go
+++ b/pkg/tree/tree.go
@@ -133,16 +133,23 @@
 
 // Lookup returns the effective JSON text of a field and the branch it comes from, or the default and an empty path.
 func (t *Tree) Lookup(path, name string) (value, source string) {
+	if raw, source, ok := t.Set(path, name); ok {
+		return raw, source
+	}
+	f, _ := field.Find(name)
+	return f.Default, ""
+}
+
+// Set returns the JSON text that the nearest branch on the path sets for a field, that branch, and whether there is one.
+func (t *Tree) Set(path, name string) (value, source string, ok bool) {
 	for p := path; ; p = Parent(p) {
 		if raw, ok := t.branches[p][name]; ok {
-			return raw, p
+			return raw, p, true
 		}
 		if p == "/" {
-			break
+			return "", "", false
 		}
 	}
-	f, _ := field.Find(name)
-	return f.Default, ""
 }
 
 // Paths returns the paths of all branches, sorted.
--- a/pkg/wire/stream.go
+++ b/pkg/wire/stream.go
@@ -14,8 +14,10 @@
 )
 
 const (
-	maxMessage  = 16 << 20
-	bufferBytes = 32 << 10
+	maxMessage = 16 << 20
+	// bufferBytes holds the heads of most requests; larger parts of bodies pass the buffers by.
+	bufferBytes = 4 << 10
+	frameBytes  = 32 << 10
 )
 
 // Stream is one exchange with another VM; one goroutine may read while another writes.
@@ -34,6 +36,15 @@
 	}
 }
 
+// FrameBuffer returns a buffer for the parts of a body whose length is known, or -1.
+func FrameBuffer(length int64) []byte {
+	if length >= 0 && length < frameBytes {
+		// One byte more lets the end of the body be seen without another read.
+		return make([]byte, length+1)
+	}
+	return make([]byte, frameBytes)
+}
+
 // Close ends the exchange in both directions.
 func (s *Stream) Close() error { return s.conn.Close() }
 
