--- a/cmd/standin/pkg/capacity/parts.go
+++ b/cmd/standin/pkg/capacity/parts.go
@@ -116,35 +116,22 @@
 	now := time.Now()
 	held := map[azuretiller.VMID]*ratehome.Home{}
 	before := heap()
-	start := time.Now()
-	draws := drawAll(c, members, held, now)
-	first := time.Since(start) / time.Duration(draws)
+	draws, first := drawAll(c, members, held, now)
 	memory := (heap() - before) / float64(draws)
-	start = time.Now()
-	drawAll(c, members, held, now)
-	// Both rounds find the holders, which an entry VM does once for each roster.
-	find := findAll(c, members) / time.Duration(draws)
-	again := time.Since(start)/time.Duration(draws) - 2*find
+	_, again := drawAll(c, members, held, now)
 	runtime.KeepAlive(held)
 	return []Slope{
-		{"first_draw_time", float64((first - find).Nanoseconds()) / 1e3, "us the first draw from a share with 540 VMs"},
-		{"draw_time", float64(max(again, 0).Nanoseconds()) / 1e3, "us each further draw"},
+		{"first_draw_time", float64(first.Nanoseconds()) / 1e3, "us the first draw from a share with 540 VMs"},
+		{"draw_time", float64(again.Nanoseconds()) / 1e3, "us each further draw"},
 		{"share_heap", memory, "bytes a share of a rate, with its home's part"},
 		{"request_id_heap", requestIDs(), "bytes a remembered request id with a small answer"},
 	}
 }
 
-func findAll(c *config.Config, members []azuretiller.VM) time.Duration {
-	start := time.Now()
-	for _, team := range c.Teams {
-		ratehome.Holders(team, members)
-	}
-	return time.Since(start)
-}
-
-// drawAll draws once from each share of each team and returns the number of draws.
-func drawAll(c *config.Config, members []azuretiller.VM, held map[azuretiller.VMID]*ratehome.Home, now time.Time) int {
+// drawAll draws once from each share of each team and returns the number of draws and the mean time of one.
+func drawAll(c *config.Config, members []azuretiller.VM, held map[azuretiller.VMID]*ratehome.Home, now time.Time) (int, time.Duration) {
 	draws := 0
+	var took time.Duration
 	for id, team := range c.Teams {
 		for _, vm := range ratehome.Holders(team, members) {
 			h := held[vm.ID]
@@ -154,11 +141,13 @@
 				h.Settled(now)
 				held[vm.ID] = h
 			}
+			start := time.Now()
 			h.Draw(ratehome.Draw{Team: id, Holder: "vm-000", Want: 1000, Lifetime: time.Second}, true, now.Add(time.Minute))
+			took += time.Since(start)
 			draws++
 		}
 	}
-	return draws
+	return draws, took / time.Duration(draws)
 }
 
 func requestIDs() float64 {
--- a/pkg/entry/addresses.go
+++ b/pkg/entry/addresses.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/azuretiller/azuretiller"
 	"github.com/azuretiller/azuretiller/pkg/headers"
 	"github.com/azuretiller/azuretiller/pkg/placement"
+	"github.com/azuretiller/azuretiller/pkg/ratehome"
 	"github.com/azuretiller/azuretiller/pkg/snapshot"
 )
 
@@ -38,19 +40,20 @@
 	_, _ = w.Write(data)
 }
 
-// Addresses returns the addresses for a caller. The callers of one team are sent to the same few VMs, one in each zone,
-// so that the tokens drawn for the team are not spread thinly.
+// Addresses returns the addresses for a caller, in random order. The callers of one team are sent to the VMs that hold the
+// shares of its rate, one in each zone, so that most tokens are drawn without a call to another VM.
 func Addresses(s *snapshot.Snapshot, r *http.Request) []string {
 	name := "callers/" + headers.Key(r.Header)
 	if s.Config != nil {
 		c := &call{request: r, snapshot: s, key: headers.Key(r.Header)}
 		if c.identify() != azuretiller.CodeUnknownKey {
-			name = "callers/" + string(c.team.ID)
+			name = ratehome.PlacementName(c.team.ID)
 		}
 	}
 	var out []string
 	for _, vm := range placement.Spread(name, s.Live, addressCount) {
 		out = append(out, vm.Caller)
 	}
+	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
 	return out
 }
--- a/pkg/ratelimit/limiter.go
+++ b/pkg/ratelimit/limiter.go
@@ -24,6 +24,8 @@
 	forgetAfter = time.Minute
 	// avoidFor is how long a holder that did not answer is asked last.
 	avoidFor = 2 * time.Second
+	// plenty ranks this VM's own share, while it is not empty, and shares of which nothing is known before all others.
+	plenty azuretiller.Millitokens = 1 << 50
 	// soonDemand is the demand in requests a second from which the next draw comes soon.
 	soonDemand = 100
 	// demandMemory is the time over which demand is averaged, in seconds.
@@ -225,11 +227,8 @@
 		return -1
 	}
 	level, ok := a.levels[vm.ID]
-	if !ok {
-		return 1 << 50
-	}
-	if vm.ID == self {
-		return level + azuretiller.TokenCost
+	if !ok || vm.ID == self && level >= azuretiller.TokenCost {
+		return plenty
 	}
 	return level
 }
