Test the whole path over real sockets

Cause: HTTP's rules, truth of refusals, keys, request ids, drain and racing operators had no tests.

Change: a small site (3 zones, stand-ins, servers whose behaviour each test sets) runs 16 behaviours and a drain and a race of two operators.

--- /dev/null
+++ b/cmd/standin/pkg/demo/path_test.go
@@ -0,0 +1,473 @@
+package demo
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/azuretiller/azuretiller"
+	"github.com/azuretiller/azuretiller/cmd/standin/pkg/backend"
+	"github.com/azuretiller/azuretiller/pkg/headers"
+	"github.com/azuretiller/azuretiller/pkg/operator"
+)
+
+// path is a small site with a backend server whose behaviour each test sets by the request's path.
+type path struct {
+	*site
+	mu       sync.Mutex
+	handlers map[string]http.HandlerFunc
+}
+
+const pathZones = 3
+
+func newPath(t *testing.T) *path {
+	t.Helper()
+	p := &path{site: newSite(io.Discard, "error"), handlers: map[string]http.HandlerFunc{}}
+	t.Cleanup(p.close)
+	ctx := t.Context()
+	require.NoError(t, p.startPlatform(ctx))
+	require.NoError(t, p.startServers(ctx, []string{keyOf("alder")}))
+	require.NoError(t, p.startVMs(context.WithoutCancel(ctx), zones()[:pathZones], 1))
+	changes := p.firstTree()
+	for _, zone := range zones()[:pathZones] {
+		address, err := p.listen(ctx, http.HandlerFunc(p.serve))
+		require.NoError(t, err)
+		changes = append(changes, set("/services/own/servers/"+address, "zone", strconv.Quote(zone)))
+	}
+	changes = append(changes,
+		set("/teams/alder", "rate", "100000"),
+		set("/teams/alder", "burst", "100000"),
+		set("/services/own/routes/any", "prefix", `"/own"`),
+		set("/services/own/routes/any", "body", "8388608"),
+		set("/services/own/routes/once", "prefix", `"/own/once"`),
+		set("/services/own/routes/once", "idempotent", `"no"`),
+		set("/services/own/routes/open", "prefix", `"/own/open"`),
+		set("/services/own/routes/open", "open", "true"),
+	)
+	v, err := p.edit(ctx, "settings", changes...)
+	require.NoError(t, err)
+	p.awaitRevision(v.Offset)
+	p.on("/own/once/ready", func(http.ResponseWriter, *http.Request) {})
+	for code := azuretiller.Code(0); code != azuretiller.CodeOK; {
+		// A new fleet refuses until its shares are filled and it is old enough to know new ids.
+		time.Sleep(20 * time.Millisecond)
+		code = p.send(t, 0, p.request(t, http.MethodPost, "/own/once/ready", nil, newID())).code
+	}
+	return p
+}
+
+func (p *path) on(route string, handler http.HandlerFunc) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.handlers[route] = handler
+}
+
+func (p *path) serve(w http.ResponseWriter, r *http.Request) {
+	p.mu.Lock()
+	handler := p.handlers[r.URL.Path]
+	p.mu.Unlock()
+	if handler == nil {
+		return
+	}
+	w.Header().Set(headers.RequestID, r.Header.Get(headers.RequestID))
+	handler(w, r)
+}
+
+func (p *path) request(t *testing.T, method, target string, body io.Reader, id string) *http.Request {
+	t.Helper()
+	r, err := http.NewRequestWithContext(t.Context(), method, target, body)
+	require.NoError(t, err)
+	r.Header.Set("X-Api-Key", keyOf("alder"))
+	if id != "" {
+		r.Header.Set(headers.Idempotency, id)
+	}
+	return r
+}
+
+type reply struct {
+	code    azuretiller.Code
+	outcome string
+	status  int
+	header  http.Header
+	trailer http.Header
+	body    []byte
+	err     error
+}
+
+func (p *path) send(t *testing.T, vm int, r *http.Request) reply {
+	t.Helper()
+	r.URL.Scheme = "http"
+	r.URL.Host = p.vms[vm].settings.VM.Caller
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true, ExpectContinueTimeout: time.Minute}}
+	response, err := client.Do(r)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	out := reply{status: response.StatusCode, header: response.Header, outcome: response.Header.Get(headers.Outcome)}
+	out.body, out.err = io.ReadAll(response.Body)
+	out.trailer = response.Trailer
+	code, _ := strconv.Atoi(response.Header.Get(headers.Code))
+	out.code = azuretiller.Code(code)
+	return out
+}
+
+// TestPath runs the behaviours of HTTP and of the result codes on one small site.
+func TestPath(t *testing.T) {
+	t.Parallel()
+	p := newPath(t)
+	tests := []struct {
+		desc string
+		run  func(*testing.T, *path)
+	}{
+		{"keys are asked for and kept from servers", testKeys},
+		{"HEAD has a length and no body", testHead},
+		{"large bodies pass both ways", testLargeBodies},
+		{"trailers pass both ways", testTrailers},
+		{"headers of one connection stay behind", testHopByHop},
+		{"an answer that breaks off is not whole", testTruncated},
+		{"an answer to another request is not given", testCrossed},
+		{"what may run only once is not sent again", testOnce},
+		{"the same id gets the first answer", testReplay},
+		{"a deadline ends a request", testDeadline},
+		{"a caller that goes away ends its request", testCancel},
+		{"a body that is too large is refused", testTooLarge},
+		{"a shed request is tried elsewhere", testShed},
+		{"operators need their token", testOperatorToken},
+		{"a request that crashes servers is held back", testPoison},
+		{"the log holds no key", testNoKeyInLog},
+	}
+	for _, tc := range tests {
+		t.Run(tc.desc, func(t *testing.T) { tc.run(t, p) })
+	}
+}
+
+func testKeys(t *testing.T, p *path) {
+	var seen []string
+	note := func(_ http.ResponseWriter, r *http.Request) {
+		seen = append(seen, fmt.Sprint(r.URL, r.Header))
+	}
+	p.on("/own/keys", note)
+	p.on("/own/open", note)
+	for _, target := range []string{"/own/keys", "/own/open"} {
+		r := p.request(t, http.MethodGet, target+"?copy="+url.QueryEscape(keyOf("alder")), nil, "")
+		r.Header.Set("X-Copy", "the key is "+keyOf("alder"))
+		r.Header.Set("Cookie", "key="+keyOf("alder"))
+		require.Equal(t, azuretiller.CodeOK, p.send(t, 0, r).code)
+	}
+	require.Len(t, seen, 2)
+	for _, text := range seen {
+		require.NotContains(t, text, keyOf("alder"))
+	}
+	r := p.request(t, http.MethodGet, "/own/keys", nil, "")
+	r.Header.Del("X-Api-Key")
+	require.Equal(t, azuretiller.CodeNoKey, p.send(t, 0, r).code)
+	r = p.request(t, http.MethodGet, "/own/keys", nil, "")
+	r.Header.Set("X-Api-Key", "unknown")
+	got := p.send(t, 0, r)
+	require.Equal(t, azuretiller.CodeUnknownKey, got.code)
+	require.Equal(t, "not-run", got.outcome)
+	require.Equal(t, azuretiller.CodeNoRoute, p.send(t, 0, p.request(t, http.MethodGet, "/nowhere", nil, "")).code)
+}
+
+func testHead(t *testing.T, p *path) {
+	p.on("/own/head", func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Content-Length", "12345") })
+	got := p.send(t, 0, p.request(t, http.MethodHead, "/own/head", nil, ""))
+	require.NoError(t, got.err)
+	require.Equal(t, "12345", got.header.Get("Content-Length"))
+	require.Empty(t, got.body)
+}
+
+func testLargeBodies(t *testing.T, p *path) {
+	const size = 5 << 20
+	data := make([]byte, size)
+	_, err := rand.Read(data)
+	require.NoError(t, err)
+	p.on("/own/echo", func(w http.ResponseWriter, r *http.Request) {
+		data, _ := io.ReadAll(r.Body)
+		_, _ = w.Write(data)
+	})
+	for _, body := range []io.Reader{bytes.NewReader(data), struct{ io.Reader }{bytes.NewReader(data)}} {
+		got := p.send(t, 1, p.request(t, http.MethodPost, "/own/echo", body, ""))
+		require.NoError(t, got.err)
+		require.Equal(t, azuretiller.CodeOK, got.code)
+		require.True(t, bytes.Equal(data, got.body), "%d bytes came back", len(got.body))
+	}
+}
+
+func testTrailers(t *testing.T, p *path) {
+	p.on("/own/trailers", func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.Header().Set("Trailer", "X-Back")
+		_, _ = io.WriteString(w, "body")
+		w.Header().Set("X-Back", r.Trailer.Get("X-There"))
+	})
+	r := p.request(t, http.MethodPost, "/own/trailers", struct{ io.Reader }{strings.NewReader("body")}, "")
+	r.Trailer = http.Header{"X-There": {"sum"}}
+	got := p.send(t, 0, r)
+	require.NoError(t, got.err)
+	require.Equal(t, "sum", got.trailer.Get("X-Back"))
+}
+
+func testHopByHop(t *testing.T, p *path) {
+	var seen http.Header
+	p.on("/own/hop", func(w http.ResponseWriter, r *http.Request) {
+		seen = r.Header.Clone()
+		w.Header().Set("Keep-Alive", "timeout=7")
+		w.Header().Set("Azuretiller-Code", "9999")
+		w.Header().Set("X-Kept", "yes")
+	})
+	r := p.request(t, http.MethodGet, "/own/hop", nil, "")
+	r.Header.Set("Connection", "X-Private")
+	r.Header.Set("X-Private", "secret")
+	r.Header.Set("X-Public", "open")
+	got := p.send(t, 0, r)
+	require.Empty(t, seen.Get("X-Private"))
+	require.Equal(t, "open", seen.Get("X-Public"))
+	require.Empty(t, got.header.Get("Keep-Alive"))
+	require.Equal(t, azuretiller.CodeOK, got.code)
+	require.Equal(t, "yes", got.header.Get("X-Kept"))
+}
+
+func testTruncated(t *testing.T, p *path) {
+	for _, length := range []string{"100000", ""} {
+		p.on("/own/truncated", func(w http.ResponseWriter, _ *http.Request) {
+			if length != "" {
+				w.Header().Set("Content-Length", length)
+			}
+			_, _ = w.Write(make([]byte, 50000))
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		})
+		got := p.send(t, 0, p.request(t, http.MethodGet, "/own/truncated", nil, ""))
+		require.Error(t, got.err, "a truncated answer looked whole")
+	}
+}
+
+func testCrossed(t *testing.T, p *path) {
+	p.on("/own/once/crossed", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(headers.RequestID, "another")
+		_, _ = io.WriteString(w, "for another")
+	})
+	got := p.send(t, 0, p.request(t, http.MethodGet, "/own/once/crossed", nil, ""))
+	require.Equal(t, azuretiller.CodeServerFailed, got.code)
+	require.NotContains(t, string(got.body), "for another")
+}
+
+func testOnce(t *testing.T, p *path) {
+	var runs atomic.Int32
+	p.on("/own/once/reset", func(http.ResponseWriter, *http.Request) {
+		runs.Add(1)
+		panic(http.ErrAbortHandler)
+	})
+	got := p.send(t, 0, p.request(t, http.MethodPost, "/own/once/reset", strings.NewReader("x"), newID()))
+	require.Equal(t, "may-have-run", got.outcome)
+	require.EqualValues(t, 1, runs.Load())
+}
+
+func testReplay(t *testing.T, p *path) {
+	runs := 0
+	p.on("/own/once/order", func(w http.ResponseWriter, r *http.Request) {
+		runs++
+		data, _ := io.ReadAll(r.Body)
+		w.WriteHeader(http.StatusCreated)
+		_, _ = fmt.Fprintf(w, "run %d of %s", runs, data)
+	})
+	id := newID()
+	first := p.send(t, 0, p.request(t, http.MethodPost, "/own/once/order", strings.NewReader("a"), id))
+	require.Equal(t, http.StatusCreated, first.status)
+	var again reply
+	for again.code != azuretiller.CodeReplayed {
+		// The answer is kept a moment after it was given; until then the id is in progress.
+		again = p.send(t, 2, p.request(t, http.MethodPost, "/own/once/order", strings.NewReader("a"), id))
+		require.Contains(t, []azuretiller.Code{azuretiller.CodeReplayed, azuretiller.CodeInProgress}, again.code)
+	}
+	require.Equal(t, first.status, again.status)
+	require.Equal(t, first.body, again.body)
+	require.Equal(t, 1, runs)
+	other := p.send(t, 1, p.request(t, http.MethodPost, "/own/once/order", strings.NewReader("b"), id))
+	require.Equal(t, azuretiller.CodeRequestIDReused, other.code)
+	require.Equal(t, 1, runs)
+}
+
+func testDeadline(t *testing.T, p *path) {
+	done := make(chan struct{})
+	p.on("/own/once/hang", func(_ http.ResponseWriter, r *http.Request) {
+		<-r.Context().Done()
+		close(done)
+	})
+	r := p.request(t, http.MethodPost, "/own/once/hang", nil, "")
+	r.Header.Set(headers.Timeout, "200")
+	got := p.send(t, 0, r)
+	require.Equal(t, azuretiller.CodeServerTimeout, got.code)
+	require.Equal(t, "may-have-run", got.outcome)
+	<-done
+}
+
+func testCancel(t *testing.T, p *path) {
+	began, done := make(chan struct{}), make(chan struct{})
+	p.on("/own/once/cancel", func(_ http.ResponseWriter, r *http.Request) {
+		close(began)
+		<-r.Context().Done()
+		close(done)
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	r := p.request(t, http.MethodPost, "/own/once/cancel", nil, "").WithContext(ctx)
+	go func() {
+		<-began
+		cancel()
+	}()
+	require.Error(t, p.send(t, 0, r).err)
+	<-done
+}
+
+func testTooLarge(t *testing.T, p *path) {
+	r := p.request(t, http.MethodPost, "/own/echo", bytes.NewReader(make([]byte, 9<<20)), "")
+	// The caller asks before it sends, so that the refusal is not lost behind the body.
+	r.Header.Set("Expect", "100-continue")
+	got := p.send(t, 0, r)
+	require.Equal(t, azuretiller.CodeBodyTooLarge, got.code)
+	p.on("/own/once/large", func(_ http.ResponseWriter, r *http.Request) { _, _ = io.Copy(io.Discard, r.Body) })
+	got = p.send(t, 0, p.request(t, http.MethodPost, "/own/once/large", struct{ io.Reader }{bytes.NewReader(make([]byte, 20<<20))}, ""))
+	require.NotEqual(t, azuretiller.CodeOK, got.code)
+}
+
+func testShed(t *testing.T, p *path) {
+	runs := 0
+	p.on("/own/once/shed", func(w http.ResponseWriter, _ *http.Request) {
+		runs++
+		if runs == 1 {
+			w.Header().Set(headers.NotRun, "true")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	got := p.send(t, 0, p.request(t, http.MethodPost, "/own/once/shed", strings.NewReader("x"), newID()))
+	require.Equal(t, azuretiller.CodeOK, got.code)
+	require.Equal(t, 2, runs)
+}
+
+func testOperatorToken(t *testing.T, p *path) {
+	for _, token := range []string{"", "wrong"} {
+		r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+p.vms[0].settings.VM.Operator+"/dump", nil)
+		require.NoError(t, err)
+		r.Header.Set("Authorization", "Bearer "+token)
+		response, err := http.DefaultClient.Do(r)
+		require.NoError(t, err)
+		_ = response.Body.Close()
+		require.Equal(t, http.StatusUnauthorized, response.StatusCode)
+	}
+}
+
+func testPoison(t *testing.T, p *path) {
+	for _, s := range p.servers["orders"] {
+		s.backend.SetFaults(backend.Faults{Poison: "poison"})
+	}
+	held := false
+	for i := range 6 {
+		got := p.send(t, i%pathZones, p.request(t, http.MethodGet, "/orders/status/poison", nil, ""))
+		held = held || got.code == azuretiller.CodeHeldBack
+	}
+	crashes := 0
+	for _, s := range p.servers["orders"] {
+		crashes += s.backend.Report().Crashes
+		s.backend.SetFaults(backend.Faults{})
+	}
+	require.True(t, held, "the request was never held back")
+	require.LessOrEqual(t, crashes, 2)
+}
+
+func testNoKeyInLog(t *testing.T, p *path) {
+	entries, _, err := p.log.Read(t.Context(), 1, 1<<20)
+	require.NoError(t, err)
+	for _, e := range entries {
+		require.NotContains(t, string(e.Data), keyOf("alder"))
+		require.NotContains(t, hex.EncodeToString(e.Data), hex.EncodeToString([]byte(keyOf("alder"))))
+	}
+	for _, v := range p.vms {
+		d, err := v.client.Dump(t.Context())
+		require.NoError(t, err)
+		require.NotContains(t, fmt.Sprint(d), keyOf("alder"))
+		require.NotContains(t, fmt.Sprint(d), fleetSecret)
+	}
+}
+
+// TestDrain lets a VM leave while a request runs on it.
+func TestDrain(t *testing.T) {
+	t.Parallel()
+	p := newPath(t)
+	began, finish := make(chan struct{}), make(chan struct{})
+	p.on("/own/once/slow", func(w http.ResponseWriter, _ *http.Request) {
+		close(began)
+		<-finish
+		_, _ = io.WriteString(w, "whole")
+	})
+	result := make(chan reply)
+	request := p.request(t, http.MethodPost, "/own/once/slow", nil, "")
+	request.Header.Set(headers.Timeout, "60000")
+	go func() { result <- p.send(t, 0, request) }()
+	select {
+	case <-began:
+	case got := <-result:
+		require.Fail(t, "the request did not run", "%+v", got)
+	}
+	p.vms[0].stop()
+	for p.stands(p.vms[1], p.vms[0]) {
+		time.Sleep(20 * time.Millisecond)
+	}
+	close(finish)
+	got := <-result
+	require.NoError(t, got.err)
+	require.Equal(t, "whole", string(got.body))
+}
+
+// stands reports whether a VM still names another one in its address answers.
+func (p *path) stands(v, other *vm) bool {
+	for _, live := range v.process.Node().Snapshot().Live {
+		if live.ID == other.settings.VM.ID {
+			return true
+		}
+	}
+	return false
+}
+
+// TestRacingOperators sends two edits of one branch on the same revision.
+func TestRacingOperators(t *testing.T) {
+	t.Parallel()
+	p := newPath(t)
+	current, err := p.vms[0].client.Tree(t.Context(), "/zones")
+	require.NoError(t, err)
+	verdicts := make([]operator.Verdict, 2)
+	var group sync.WaitGroup
+	for i := range verdicts {
+		group.Go(func() {
+			v, known, err := p.vms[i].client.Edit(t.Context(), operator.Edit{
+				Base:     current.Revision,
+				Operator: fmt.Sprint("operator ", i),
+				Changes:  []operator.Change{set("/teams/alder", "rate", fmt.Sprint(50+i))},
+			})
+			if err == nil && known {
+				verdicts[i] = v
+			}
+		})
+	}
+	group.Wait()
+	require.NotEqual(t, verdicts[0].Accepted, verdicts[1].Accepted, "%+v", verdicts)
+	loser := verdicts[0]
+	if loser.Accepted {
+		loser = verdicts[1]
+	}
+	require.Contains(t, loser.Reason, "was changed by operator")
+}
