--- a/pkg/control/figures_test.go
+++ b/pkg/control/figures_test.go
@@ -35,7 +35,7 @@
 
 // settled returns a fleet of today's size whose VMs all know each other.
 func settled(seed uint64, count, zones int) *fleet {
-	f := newFleet(seed, count, zones)
+	f := newFleet(seed, count, zones, 0)
 	f.onSpend = func(azuretiller.TeamID, time.Time) {}
 	f.onRefuse = func(azuretiller.TeamID) {}
 	f.Run(6 * time.Second)
--- a/pkg/control/fleet_test.go
+++ b/pkg/control/fleet_test.go
@@ -58,17 +58,20 @@
 	dead        bool
 }
 
-func newFleet(seed uint64, count, zones int) *fleet {
+func newFleet(seed uint64, count, zones, keep int) *fleet {
 	f := &fleet{
 		Schedule: virtualtime.New(time.Unix(1_700_000_000, 0)),
 		random:   rand.New(rand.NewPCG(seed, 7)),
-		log:      memlog.New(0),
+		log:      memlog.New(keep),
 		params:   control.DefaultParams(),
 		vms:      map[azuretiller.VMID]*vm{},
 		cuts:     map[link]bool{},
 		verdicts: map[string]record.Verdict{},
 		lastNext: map[azuretiller.VMID]azuretiller.Offset{},
 	}
+	if keep > 0 {
+		f.params.CheckpointRecords = keep / 6
+	}
 	for i := range count {
 		id := azuretiller.VMID(fmt.Sprintf("vm-%02d", i))
 		f.order = append(f.order, id)
--- a/pkg/control/random_test.go
+++ b/pkg/control/random_test.go
@@ -17,9 +17,11 @@
 
 const (
 	// slack is the time beyond the limit that messages under way may need.
-	slack   = 100 * time.Millisecond
-	allTeam = azuretiller.TeamID("alder")
-	keyHash = "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef"
+	slack = 100 * time.Millisecond
+	// shortLog is the number of records that a log keeps which drops them soon.
+	shortLog = 24
+	allTeam  = azuretiller.TeamID("alder")
+	keyHash  = "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef"
 )
 
 // naiveBucket is one bucket for the whole fleet, with the most generous settings that any VM may still act on.
@@ -80,9 +82,9 @@
 	refused   int
 }
 
-func newWorld(t *rapid.T, seed uint64, count int) *world {
+func newWorld(t *rapid.T, seed uint64, count, keep int) *world {
 	w := &world{
-		fleet:     newFleet(seed, count, 3),
+		fleet:     newFleet(seed, count, 3, keep),
 		t:         t,
 		naive:     journal.New(),
 		naiveBy:   map[azuretiller.Offset]string{},
@@ -280,7 +282,7 @@
 func TestRandomFaults(t *testing.T) {
 	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
-		w := newWorld(t, rapid.Uint64().Draw(t, "seed"), rapid.IntRange(3, 7).Draw(t, "vms"))
+		w := newWorld(t, rapid.Uint64().Draw(t, "seed"), rapid.IntRange(3, 7).Draw(t, "vms"), rapid.SampledFrom([]int{0, shortLog}).Draw(t, "keep"))
 		t.Repeat(w.actions())
 		clear(w.cuts)
 		w.log.SetOut(false)
--- /dev/null
+++ b/pkg/settings/load_test.go
@@ -0,0 +1,77 @@
+package settings_test
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/azuretiller/azuretiller/pkg/settings"
+)
+
+const valid = `{
+  // One VM.
+  "vm": "a1",
+  "zone": "a",
+  "caller": "127.0.0.1:8080",
+  "peer": "127.0.0.1:7200",
+  "operator": "127.0.0.1:7300",
+  "secret": "secret",
+  "token": "secret",
+  "platform": {"url": "http://127.0.0.1:9000", "token": "secret"},
+  "drain": "3s", // shorter than usual
+}`
+
+func load(t *testing.T, text string) (settings.Settings, []string) {
+	t.Helper()
+	folder := t.TempDir()
+	require.NoError(t, os.WriteFile(filepath.Join(folder, "secret"), []byte("0123456789abcdef\n"), 0o600))
+	require.NoError(t, os.WriteFile(filepath.Join(folder, "short"), []byte("short"), 0o600))
+	file := filepath.Join(folder, "vm.json")
+	require.NoError(t, os.WriteFile(file, []byte(text), 0o600))
+	s, problems := settings.Load(file)
+	var out []string
+	for _, p := range problems {
+		out = append(out, strings.TrimPrefix(p.String(), file))
+	}
+	return s, out
+}
+
+func TestLoadValid(t *testing.T) {
+	t.Parallel()
+	s, problems := load(t, valid)
+	require.Empty(t, problems)
+	require.Equal(t, 3*time.Second, s.Drain)
+	require.Equal(t, "0123456789abcdef", s.Token)
+	require.Equal(t, "info", s.Log.Level)
+}
+
+func TestLoadProblems(t *testing.T) {
+	t.Parallel()
+	tests := []struct {
+		desc, from, to, want string
+	}{
+		{"unknown field", `"zone"`, `"zune"`, ":4: zune: unknown field"},
+		{"missing field", `"zone": "a",`, ``, ":1: zone: is missing"},
+		{"duplicate field", `"zone": "a",`, `"zone": "a", "zone": "b",`, ":4: zone: given twice"},
+		{"wrong type", `"vm": "a1"`, `"vm": 7`, ":3: vm: must be a string that is not empty"},
+		{"host name", `127.0.0.1:7200`, `localhost:7200`, `:6: peer: must have an IP number, not "localhost"`},
+		{"bad port", `127.0.0.1:7200`, `127.0.0.1:99999`, `:6: peer: must have a port from 1 to 65535, not "99999"`},
+		{"nested field", `"url"`, `"uri"`, ":10: platform.uri: unknown field"},
+		{"short secret", `"token": "secret",`, `"token": "short",`, ":9: token: the file must hold at least 16 bytes"},
+		{"impossible duration", `"3s"`, `"-3s"`, ":11: drain: must be a duration from 0s to 10m0s"},
+		{"no JSON", `"vm": "a1",`, `"vm" "a1",`, ":3: file: "},
+	}
+	for _, tc := range tests {
+		t.Run(tc.desc, func(t *testing.T) {
+			t.Parallel()
+			require.Contains(t, valid, tc.from)
+			_, problems := load(t, strings.Replace(valid, tc.from, tc.to, 1))
+			require.NotEmpty(t, problems)
+			require.Contains(t, strings.Join(problems, "\n"), tc.want)
+		})
+	}
+}
