--- a/pkg/crash/register.go
+++ b/pkg/crash/register.go
@@ -75,12 +75,6 @@
 	return true, 0
 }
 
-// Suspected reports whether a request was running when a server crashed, so that it should not run twice at once.
-func (r *Register) Suspected(f Fingerprint) bool {
-	_, ok := r.entries[f]
-	return ok
-}
-
 // Succeeded forgets a request that a backend server survived.
 func (r *Register) Succeeded(f Fingerprint) {
 	delete(r.entries, f)
--- a/pkg/pool/pool.go
+++ b/pkg/pool/pool.go
@@ -1,7 +1,6 @@
 package pool
 
 import (
-	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -250,74 +249,6 @@
 	return Start{Ticket: r.ticket.ID, Server: s.id, Queued: now.Sub(r.queued)}
 }
 
-func (p *Pool) pickFree(now time.Time) []*server {
-	var free []*server
-	for _, s := range p.servers {
-		if s.room(now) > 0 {
-			free = append(free, s)
-		}
-	}
-	return free
-}
-
-// choose picks the server for a request. A suspected server is given idempotent requests first, because the evidence
-// that ejects or clears it costs the same number of requests whenever they come; requests that may run only once keep away from it.
-func (p *Pool) choose(now time.Time, free []*server, r *request) *server {
-	first := len(r.tried) == 0
-	var best *server
-	bestScore := math.Inf(1)
-	for _, s := range free {
-		if r.triedOn(s) || s.phase == onTrial && !p.mayTry(now, s, r) {
-			continue
-		}
-		score := p.score(s, r, first)
-		if score < bestScore {
-			best = s
-			bestScore = score
-		}
-	}
-	return best
-}
-
-// mayTry reports whether a request may be used for a trial: one that can be retried or, when none came for long, any.
-func (p *Pool) mayTry(now time.Time, s *server, r *request) bool {
-	if r.ticket.Idempotent && len(r.tried) == 0 && r.ticket.Retries > 0 {
-		return true
-	}
-	return now.Sub(s.until) > trialPatience
-}
-
-func (p *Pool) score(s *server, r *request, first bool) float64 {
-	load := float64(s.busy)/float64(max(s.ramp.Size(), 1)) + p.random.Float64()*0.01
-	suspicion := p.detector.Suspicion(s.index)
-	if s.phase == onTrial {
-		return -1
-	}
-	if suspicion < suspect {
-		return load
-	}
-	verify := r.ticket.Idempotent && first && r.ticket.Retries > 0 && s.busy < verifying && suspicion < 1
-	if verify {
-		return load - 1
-	}
-	return load + 10*suspicion
-}
-
-func (p *Pool) isHeavy(route azuretiller.RouteID) bool {
-	t, ok := p.slotTime[route]
-	return ok && p.usual > 0 && t > heavyFactor*p.usual
-}
-
-func (p *Pool) heavyLimit() int {
-	slots := 0
-	for _, s := range p.servers {
-		if s.usable() {
-			slots += s.ramp.Size()
-		}
-	}
-	return max(1, int(float64(slots)*heavyShare))
-}
-
 func (p *Pool) expected(route azuretiller.RouteID) time.Duration {
 	if t, ok := p.slotTime[route]; ok {
 		return t
@@ -370,39 +301,6 @@
 	return work / time.Duration(max(load.Capacity, 1))
 }
 
-// longestFlow returns the team with the most waiting requests for its weight, counting the one that arrives.
-func (p *Pool) longestFlow(arriving Ticket) azuretiller.TeamID {
-	waiting := map[azuretiller.TeamID]float64{arriving.Team: 1 / float64(max(arriving.Weight, 1))}
-	for _, r := range p.requests {
-		if r.server == nil {
-			waiting[r.ticket.Team] += 1 / float64(max(r.ticket.Weight, 1))
-		}
-	}
-	longest := arriving.Team
-	for team, n := range waiting {
-		if n > waiting[longest] || n == waiting[longest] && team < longest && longest != arriving.Team {
-			longest = team
-		}
-	}
-	return longest
-}
-
-// evict refuses the newest waiting request of a team that has not run yet.
-func (p *Pool) evict(team azuretiller.TeamID) []Action {
-	var newest *request
-	for _, r := range p.requests {
-		if r.server == nil && r.starts == 0 && r.ticket.Team == team && (newest == nil || r.ticket.ID > newest.ticket.ID) {
-			newest = r
-		}
-	}
-	if newest == nil {
-		return nil
-	}
-	p.queue.Remove(func(r *request) bool { return r == newest })
-	delete(p.requests, newest.ticket.ID)
-	return []Action{Refuse{Ticket: newest.ticket.ID, Code: azuretiller.CodeOverloaded, RetryAfter: p.drainTime()}}
-}
-
 // Load returns the state of the pool for entry VMs.
 func (p *Pool) Load() exchange.Load {
 	load := exchange.Load{Waiting: p.queue.Len()}
