End the trial of a held request that gave no answer

Cause: reading the code for unused functions showed that nothing ended a trial: a held request that was let through once and then refused in the queue, timed out or answered with an error was held back for good, and asking after an attempt whether a request was held took the trial itself.

Change: a session ends its trial, and asks without taking one.

After: the register's tests cover the hold, the trial, its end and the doubling; the path's test of a poisonous request passes.

--- a/pkg/crash/register.go
+++ b/pkg/crash/register.go
@@ -75,6 +75,12 @@
 	return true, 0
 }
 
+// Held reports whether a request is held back now, without letting it through for a trial.
+func (r *Register) Held(f Fingerprint, now time.Time) bool {
+	e := r.entries[f]
+	return e != nil && now.Before(e.heldUntil)
+}
+
 // Succeeded forgets a request that a backend server survived.
 func (r *Register) Succeeded(f Fingerprint) {
 	delete(r.entries, f)
--- a/pkg/poolhome/home.go
+++ b/pkg/poolhome/home.go
@@ -209,6 +209,19 @@
 	return h.crashes.Admit(f, h.common.Clock.Now())
 }
 
+func (h *Home) held(f crash.Fingerprint) bool {
+	h.crashMu.Lock()
+	defer h.crashMu.Unlock()
+	return h.crashes.Held(f, h.common.Clock.Now())
+}
+
+// released ends the trial of a held request that neither succeeded nor crashed a server.
+func (h *Home) released(f crash.Fingerprint) {
+	h.crashMu.Lock()
+	defer h.crashMu.Unlock()
+	h.crashes.Released(f)
+}
+
 func (h *Home) survived(f crash.Fingerprint) {
 	h.crashMu.Lock()
 	defer h.crashMu.Unlock()
--- a/pkg/poolhome/session.go
+++ b/pkg/poolhome/session.go
@@ -58,6 +58,7 @@
 		s.refuse(azuretiller.CodeHeldBack, wait)
 		return
 	}
+	defer s.home.released(s.fingerprint)
 	s.receive()
 	s.offer()
 	defer s.withdraw()
@@ -201,10 +202,7 @@
 		s.home.Crashed(s.fingerprint, server)
 		s.home.reporter.ReportCrash(s.request.Pool.Service, s.fingerprint, server)
 	}
-	replayable := s.body.Replayable()
-	if ok, _ := s.home.admit(s.fingerprint); !ok {
-		replayable = false
-	}
+	replayable := s.body.Replayable() && !s.home.held(s.fingerprint)
 	s.finish(pool.Result{Kind: answer.Kind, Latency: answer.Latency, Replayable: replayable})
 	return false
 }
