Wait for warm servers before the demo's gray failure, and show cold ones

The trace: its only peer had not reached all its slots and was younger than the warm-up time, so it did not count as capacity, and the floor forbade the ejection.

Ruled out: counting servers of a new home as warm, since the floor must always hold and a new home does not know.

Change: the demo waits until the pool's servers count as capacity; the bound stays 1 s. Dumps and `tillerctl service` show which servers are cold.

--- a/cmd/standin/pkg/demo/demo.go
+++ b/cmd/standin/pkg/demo/demo.go
@@ -157,6 +157,7 @@
 
 func (d *Demo) grayServer(ctx context.Context) error {
 	bad := d.site.servers["orders"][0]
+	d.site.awaitWarm(ctx, "orders/"+bad.zone+"/0")
 	bad.backend.SetFaults(backend.Faults{Fail: 0.5})
 	start := time.Now()
 	for !d.site.ejected(ctx, bad.address) {
--- a/cmd/standin/pkg/demo/site.go
+++ b/cmd/standin/pkg/demo/site.go
@@ -253,6 +253,26 @@
 	return out
 }
 
+// awaitWarm waits until the servers of a pool count as capacity, since the floor keeps a failing server in service
+// while the others are cold.
+func (s *site) awaitWarm(ctx context.Context, pool string) {
+	for deadline := time.Now().Add(readyTime); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+		found, cold := false, false
+		for _, v := range s.vms {
+			if v.dead {
+				continue
+			}
+			for _, row := range v.process.Node().Dump(ctx).Servers {
+				found = found || row.Pool == pool
+				cold = cold || row.Pool == pool && row.Cold
+			}
+		}
+		if found && !cold {
+			return
+		}
+	}
+}
+
 // ejected reports whether the home of a server's pool has put it out.
 func (s *site) ejected(ctx context.Context, address string) bool {
 	for _, v := range s.vms {
--- a/pkg/node/state.go
+++ b/pkg/node/state.go
@@ -116,6 +116,7 @@
 				Busy:      r.Busy,
 				Limit:     r.Limit,
 				Draining:  r.Draining,
+				Cold:      r.Cold,
 				Suspicion: r.Suspicion,
 				Ejections: r.Ejections,
 			}
--- a/pkg/operator/types.go
+++ b/pkg/operator/types.go
@@ -62,6 +62,7 @@
 		Busy      int     `json:"busy"`
 		Limit     int     `json:"limit"`
 		Draining  bool    `json:"draining"`
+		Cold      bool    `json:"cold"`
 		Suspicion float64 `json:"suspicion"`
 		Ejections int     `json:"ejections"`
 		OutFor    string  `json:"out_for,omitempty"`
--- a/pkg/pool/report.go
+++ b/pkg/pool/report.go
@@ -8,12 +8,14 @@
 
 // ServerReport is the state of one server for dumps and operators.
 type ServerReport struct {
-	Server     azuretiller.ServerID
-	Phase      string
-	Reason     string
-	Busy       int
-	Limit      int
-	Draining   bool
+	Server   azuretiller.ServerID
+	Phase    string
+	Reason   string
+	Busy     int
+	Limit    int
+	Draining bool
+	// Cold means that the server does not count as capacity for the floor yet.
+	Cold       bool
 	Suspicion  float64
 	Ejections  int
 	OutFor     time.Duration
@@ -31,6 +33,7 @@
 			Busy:       s.busy,
 			Limit:      s.ramp.Size(),
 			Draining:   s.draining,
+			Cold:       p.isCold(now, s),
 			Suspicion:  p.detector.Suspicion(s.index),
 			Ejections:  s.ejections,
 			TrialsDone: s.good,
