Place pools only when roster, settings or downs change

Change: what follows from roster, settings and downs is kept until one of them changes; the roster is sorted for settlement only when the version grew.

--- a/pkg/control/log.go
+++ b/pkg/control/log.go
@@ -114,7 +114,7 @@
 		if err != nil {
 			break
 		}
-		s.dirty = true
+		s.displace()
 		s.remember(entry)
 		effects = append(effects, s.judged(verdict)...)
 	}
@@ -155,6 +155,9 @@
 // advance notes the newest change after records were applied.
 func (s *State) advance(now time.Time) []Effect {
 	version := max(s.journal.Revision(), s.journal.RosterRevision())
+	if applied, _ := s.settlement.Version(); version <= applied {
+		return s.confirm()
+	}
 	var ids []azuretiller.VMID
 	for _, vm := range s.journal.Members() {
 		ids = append(ids, vm.ID)
--- a/pkg/control/proposals.go
+++ b/pkg/control/proposals.go
@@ -84,7 +84,7 @@
 
 // turn returns how long this VM waits for VMs that come before it in doing a shared task.
 func (s *State) turn(task string) time.Duration {
-	ranked := placement.Rank(task, s.live(s.journal.Members()))
+	ranked := placement.Rank(task, s.place().live)
 	place := slices.IndexFunc(ranked, func(vm azuretiller.VM) bool { return vm.ID == s.self.ID })
 	if place < 0 {
 		place = len(ranked)
--- a/pkg/control/reduce.go
+++ b/pkg/control/reduce.go
@@ -10,7 +10,6 @@
 	"github.com/azuretiller/azuretiller/pkg/record"
 	"github.com/azuretiller/azuretiller/pkg/settlement"
 	"github.com/azuretiller/azuretiller/pkg/snapshot"
-	"github.com/azuretiller/azuretiller/pkg/topology"
 )
 
 // Reduce applies one event to the state and returns what is to be done, in order.
@@ -64,22 +63,19 @@
 		return nil
 	}
 	s.dirty = false
-	members := s.journal.Members()
-	live := s.live(members)
-	c := s.journal.Config()
+	p := s.place()
 	version, settled := s.settlement.Version()
 	return []Effect{Publish{Snapshot: &snapshot.Snapshot{
 		Self:           s.self,
 		Ready:          s.ready,
 		Next:           s.journal.Next(),
 		Revision:       s.journal.Revision(),
-		Config:         c,
-		Topology:       topology.Build(c, live),
-		Members:        members,
+		Config:         s.journal.Config(),
+		Topology:       p.topology,
+		Members:        p.members,
 		RosterRevision: s.journal.RosterRevision(),
-		RosterSince:    s.rosterSince,
-		Live:           live,
-		Down:           s.monitor.Down(),
+		Live:           p.live,
+		Down:           p.down,
 		Pollers:        s.pollers,
 		Leaving:        s.leaving,
 		CompleteAt:     s.view.CompleteAt(),
@@ -97,20 +93,11 @@
 	return s.view.OutSince(members, settlement.Majority(len(members)))
 }
 
-// live returns the members that may be homes and stand in address answers.
-func (s *State) live(members []azuretiller.VM) []azuretiller.VM {
-	zones := s.journal.Config().Zones
-	return slices.DeleteFunc(slices.Clone(members), func(vm azuretiller.VM) bool {
-		return vm.Leaving || zones[vm.Zone].Out || s.monitor.IsDown(vm.ID)
-	})
-}
-
 // rosterChanged recomputes what follows from the members.
 func (s *State) rosterChanged(now time.Time) {
-	s.rosterSince = now
 	s.monitor.SetRoster(s.journal.Members(), now)
 	s.choosePollers()
-	s.dirty = true
+	s.displace()
 }
 
 // membershipChanged notes VMs that went down or came back.
@@ -131,7 +118,7 @@
 	}
 	if len(effects) > 0 {
 		s.choosePollers()
-		s.dirty = true
+		s.displace()
 	}
 	return effects
 }
--- a/pkg/control/state.go
+++ b/pkg/control/state.go
@@ -30,22 +30,22 @@
 	leaving     bool
 	ready       bool
 
-	reading     bool
-	nextRead    time.Time
-	nextSeed    time.Time
-	logFailing  bool
-	nextBeat    time.Time
-	fetching    bool
-	fetchBy     time.Time
-	pollers     []azuretiller.VMID
-	downSince   map[azuretiller.VMID]time.Time
-	rosterSince time.Time
-	pending     map[string]pending
-	sequence    uint64
-	joinBy      time.Time
-	sinceMark   int
-	markBy      time.Time
-	dirty       bool
+	reading    bool
+	nextRead   time.Time
+	nextSeed   time.Time
+	logFailing bool
+	nextBeat   time.Time
+	fetching   bool
+	fetchBy    time.Time
+	pollers    []azuretiller.VMID
+	downSince  map[azuretiller.VMID]time.Time
+	pending    map[string]pending
+	sequence   uint64
+	joinBy     time.Time
+	sinceMark  int
+	markBy     time.Time
+	dirty      bool
+	placed     *placed
 }
 
 // pending is a proposal of this VM that has no verdict yet.
--- a/pkg/snapshot/snapshot.go
+++ b/pkg/snapshot/snapshot.go
@@ -21,8 +21,6 @@
 	// Members is the agreed roster; only the log changes it.
 	Members        []azuretiller.VM
 	RosterRevision azuretiller.Revision
-	// RosterSince is when this VM learnt of the roster.
-	RosterSince time.Time
 	// Live are the members that are neither down nor leaving nor in a zone taken out.
 	Live []azuretiller.VM
 	Down []azuretiller.VMID
