Report a crash before the request can come back

Cause: TestPath's poisonous request took a third server in 3 of 6 runs: a home told the others of a crash in the background, and the caller's next send reached one that did not know yet. The fault is older: earlier runs only happened to be slower.

--- a/pkg/node/serve.go
+++ b/pkg/node/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync"
 
 	"github.com/azuretiller/azuretiller"
 	"github.com/azuretiller/azuretiller/pkg/control"
@@ -160,16 +161,18 @@
 	n.ids.Finish(key, owner, answer, n.common.Clock.Now())
 }
 
-// ReportCrash tells the homes of a service's other pools about a crash; it does not wait.
+// ReportCrash tells the homes of a service's other pools about a crash and waits for their answers, or a short while.
 func (n *Node) ReportCrash(service azuretiller.ServiceID, f crash.Fingerprint, server azuretiller.ServerID) {
 	s := n.Snapshot()
 	told := map[azuretiller.VMID]bool{n.self.ID: true}
+	var group sync.WaitGroup
+	defer group.Wait()
 	for _, p := range s.Topology[service] {
 		if p.Home.ID == "" || told[p.Home.ID] {
 			continue
 		}
 		told[p.Home.ID] = true
-		go n.tellCrash(p.Home, f, server)
+		group.Go(func() { n.tellCrash(p.Home, f, server) })
 	}
 }
 
--- a/pkg/poolhome/home.go
+++ b/pkg/poolhome/home.go
@@ -21,7 +21,8 @@
 
 // Reporter tells the homes of a service's other pools about a crash.
 type Reporter interface {
-	// ReportCrash passes on that a server crashed while it ran a request; it does not wait.
+	// ReportCrash passes on that a server crashed while it ran a request. It returns once the others know, or after a
+	// short while, so that the request cannot come back to one that does not know.
 	ReportCrash(service azuretiller.ServiceID, f crash.Fingerprint, server azuretiller.ServerID)
 }
 
