Keep the caller's end of the handshake test open until both sides are done

Cause: the test closed its end as soon as Dial returned; Accept clears its deadline after that, and a pipe whose other end is closed refuses to. Ruled out: a fault of the handshake; a TCP connection that was closed by its peer takes a deadline, and the next read reports the end.

Change: the caller's end stays open until the test ends, except when Dial failed, where the other side has to be told. What is required of both sides is as it was.

--- a/pkg/handshake/handshake_test.go
+++ b/pkg/handshake/handshake_test.go
@@ -25,6 +25,7 @@
 		t.Run(tc.desc, func(t *testing.T) {
 			t.Parallel()
 			near, far := net.Pipe()
+			t.Cleanup(func() { _ = near.Close() })
 			result := make(chan error, 1)
 			go func() {
 				_, err := handshake.New([]byte(tc.called), azuretiller.VM{ID: "b"}).Accept(far)
@@ -34,7 +35,9 @@
 				result <- err
 			}()
 			name, err := handshake.New([]byte(tc.dialer), azuretiller.VM{ID: "a"}).Dial(near)
-			_ = near.Close()
+			if err != nil {
+				_ = near.Close()
+			}
 			accepted := <-result
 			if tc.ok {
 				require.NoError(t, err)
