Take the server that has waited longest among equals

Cause: ties between servers were broken at random, so that a server at 10 requests a second was left alone for up to 0.92 s (p99) before its first failure by the spread of that choice alone.

Change: among equally loaded servers the one whose last start is oldest is taken; the pool needs no random source any more.

--- a/pkg/pool/choose.go
+++ b/pkg/pool/choose.go
@@ -19,6 +19,7 @@
 
 // choose picks the server for a request. A suspected server is given idempotent requests first, because the evidence
 // that ejects or clears it costs the same number of requests whenever they come; requests that may run only once keep away from it.
+// Among equals the one that has waited longest for work is taken, so that no server goes untested for long by chance.
 func (p *Pool) choose(now time.Time, free []*server, r *request) *server {
 	first := len(r.tried) == 0
 	var best *server
@@ -28,7 +29,7 @@
 			continue
 		}
 		score := p.score(s, r, first)
-		if score < bestScore {
+		if score < bestScore || score == bestScore && s.lastStart < best.lastStart {
 			best = s
 			bestScore = score
 		}
@@ -45,7 +46,7 @@
 }
 
 func (p *Pool) score(s *server, r *request, first bool) float64 {
-	load := float64(s.busy)/float64(max(s.ramp.Size(), 1)) + p.random.Float64()*0.01
+	load := float64(s.busy) / float64(max(s.ramp.Size(), 1))
 	suspicion := p.detector.Suspicion(s.index)
 	if s.phase == onTrial {
 		return -1
--- a/pkg/pool/pool.go
+++ b/pkg/pool/pool.go
@@ -1,7 +1,6 @@
 package pool
 
 import (
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -37,7 +36,6 @@
 // Pool holds the servers of one pool and the requests that run or wait; it has no clock of its own.
 type Pool struct {
 	rules    config.Service
-	random   *rand.Rand
 	check    *invariant.Checker
 	servers  []*server
 	queue    *fairqueue.Queue[azuretiller.TeamID, azuretiller.RouteID, *request]
@@ -48,13 +46,13 @@
 	usual    time.Duration
 	heavy    int
 	indexes  int
+	starts   uint64
 }
 
-// New returns a pool without servers; the random source breaks ties.
-func New(rules config.Service, random *rand.Rand, check *invariant.Checker) *Pool {
+// New returns a pool without servers.
+func New(rules config.Service, check *invariant.Checker) *Pool {
 	return &Pool{
 		rules:    rules,
-		random:   random,
 		check:    check,
 		queue:    fairqueue.New[azuretiller.TeamID, azuretiller.RouteID, *request](),
 		requests: map[TicketID]*request{},
@@ -238,6 +236,8 @@
 	p.check.That(s.usable(), "server %s is %s or draining and would get work", s.id, s.phase)
 	p.check.That(r.ticket.Idempotent || r.starts == r.notRuns, "request %d would run twice", r.ticket.ID)
 	s.busy++
+	p.starts++
+	s.lastStart = p.starts
 	r.server = s
 	r.starts++
 	r.started = now
--- a/pkg/pool/server.go
+++ b/pkg/pool/server.go
@@ -49,13 +49,15 @@
 )
 
 type server struct {
-	id       azuretiller.ServerID
-	index    int
-	ramp     *ramp.Ramp
-	busy     int
-	phase    phase
-	draining bool
-	reason   string
+	id    azuretiller.ServerID
+	index int
+	ramp  *ramp.Ramp
+	busy  int
+	// lastStart numbers the last start on this server among all starts of the pool.
+	lastStart uint64
+	phase     phase
+	draining  bool
+	reason    string
 	// until is when an ejection ends.
 	until     time.Time
 	ejections int
--- a/pkg/pool/sim_test.go
+++ b/pkg/pool/sim_test.go
@@ -94,7 +94,7 @@
 	for _, c := range servers {
 		s.servers[c.ID] = &fakeServer{id: c.ID, warmth: 1}
 	}
-	s.pool = pool.New(service, rand.New(rand.NewPCG(seed, 4)), invariant.NewPanicking())
+	s.pool = pool.New(service, invariant.NewPanicking())
 	s.act(s.pool.Configure(s.Now(), service, servers))
 	s.After(poolTick, s.tick)
 	return s
--- a/pkg/poolhome/home.go
+++ b/pkg/poolhome/home.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"hash/fnv"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -103,7 +101,7 @@
 			return nil
 		}
 		r = &runner{
-			pool:    pool.New(current.Config.Services[id.Service], rand.New(rand.NewPCG(seed(id), 0)), h.check),
+			pool:    pool.New(current.Config.Services[id.Service], h.check),
 			waiters: map[pool.TicketID]chan pool.Action{},
 		}
 		h.pools[id] = r
@@ -130,12 +128,6 @@
 	h.act(r, id, r.pool.Configure(now, s.Config.Services[id.Service], p.Servers))
 }
 
-func seed(id azuretiller.PoolID) uint64 {
-	f := fnv.New64a()
-	_, _ = f.Write([]byte(id.String()))
-	return f.Sum64()
-}
-
 // act carries out the actions of a pool. The runner's lock is held.
 func (h *Home) act(r *runner, id azuretiller.PoolID, actions []pool.Action) {
 	for _, action := range actions {
