Run reads again on a server in doubt

Cause: after the first failure about eleven more results were needed, and they came at the pool's rate: at 2 requests a second to a server of a pool of 3 that alone took 2 s and more.

Change: a server that failed is at once sent the failed read, once another server has answered it well, and the newest read that any server answered well. Two different requests must have failed for a verdict. Only GET and HEAD without a body on idempotent routes: an idempotent PUT that runs again later could undo a newer one. Rechecks have 30 % of the retry budget, so that callers' retries are not used up by them. The latency of a recheck is no evidence.

--- a/pkg/budget/budget.go
+++ b/pkg/budget/budget.go
@@ -1,32 +1,27 @@
 package budget
 
-const (
-	// reserve is the number of retries that may be saved up.
-	reserve = 10.0
-	initial = 1.0
-)
-
-// Budget counts the retries that the recent requests have paid for.
+// Budget counts the extra attempts that the recent requests have paid for.
 type Budget struct {
-	ratio float64
-	saved float64
+	ratio   float64
+	reserve float64
+	saved   float64
 }
 
-// New returns a budget of ratio retries a request.
-func New(ratio float64) *Budget {
-	return &Budget{ratio: ratio, saved: initial}
+// New returns a budget of ratio extra attempts a request, of which reserve may be saved up and initial are saved already.
+func New(ratio, reserve, initial float64) *Budget {
+	return &Budget{ratio: ratio, reserve: reserve, saved: initial}
 }
 
-// SetRatio changes the number of retries a request pays for.
+// SetRatio changes the number of extra attempts a request pays for.
 func (b *Budget) SetRatio(ratio float64) { b.ratio = ratio }
 
-// Request notes a request that is no retry.
+// Request notes a request that is no extra attempt.
 func (b *Budget) Request() {
-	b.saved = min(b.saved+b.ratio, reserve)
+	b.saved = min(b.saved+b.ratio, b.reserve)
 }
 
-// Retry spends one retry and reports whether there was one.
-func (b *Budget) Retry() bool {
+// Spend takes one extra attempt and reports whether there was one.
+func (b *Budget) Spend() bool {
 	if b.saved < 1 {
 		return false
 	}
--- a/pkg/detector/detector.go
+++ b/pkg/detector/detector.go
@@ -16,6 +16,8 @@
 	slowWeight  = 20
 	// goodElsewhere is how many successes on other servers show that a team's requests are sound.
 	goodElsewhere = 3
+	// fewRequests keeps a single request that a server cannot serve from ejecting it.
+	fewRequests = 2
 	// fewSamples is how many latencies a server needs before it serves as a measure for others.
 	fewSamples = 8
 )
@@ -34,6 +36,8 @@
 	slow    float64
 	// accusers are the teams whose failures make up the evidence.
 	accusers map[azuretiller.TeamID]bool
+	// requests counts the requests whose failures make it up, however often each of them failed.
+	requests int
 }
 
 type route struct {
@@ -44,10 +48,12 @@
 
 // Sample is the result of one request on one server.
 type Sample struct {
-	Server  int
-	Team    azuretiller.TeamID
-	Route   azuretiller.RouteID
-	Failed  bool
+	Server int
+	Team   azuretiller.TeamID
+	Route  azuretiller.RouteID
+	Failed bool
+	// Repeat means that the request ran in this pool before, so that its latency and further failures are no news.
+	Repeat  bool
 	Latency time.Duration
 	// Cold means that the server may be slow because it is cold.
 	Cold bool
@@ -70,7 +76,7 @@
 	d.weighFailure(s, r, team)
 	r.failures.of(s.Server).add(s.Failed)
 	team.of(s.Server).add(s.Failed)
-	if s.Failed {
+	if s.Failed || s.Repeat {
 		return
 	}
 	d.weighLatency(s, r)
@@ -93,6 +99,7 @@
 		state.failure = max(0, state.failure+math.Log((1-d.params.Faulty)/(1-d.params.Background)))
 		if state.failure == 0 {
 			clear(state.accusers)
+			state.requests = 0
 		}
 		return
 	}
@@ -101,6 +108,9 @@
 		return
 	}
 	state.accusers[s.Team] = true
+	if !s.Repeat {
+		state.requests++
+	}
 	state.failure = min(state.failure+weight, 2*d.params.FailureLimit)
 }
 
@@ -182,8 +192,12 @@
 	}
 }
 
-// sound reports whether the failures can be the server's: several teams saw them, or the one team's requests succeed elsewhere.
+// sound reports whether the failures can be the server's: several requests failed, and several teams saw it or the one
+// team's requests succeed elsewhere.
 func (d *Detector) sound(id int, s *server) bool {
+	if s.requests < fewRequests {
+		return false
+	}
 	if len(s.accusers) > 1 {
 		return true
 	}
@@ -201,6 +215,10 @@
 	s := d.server(id)
 	s.failure = share * d.params.FailureLimit
 	s.slow = share * d.params.SlowLimit
+	s.requests = 0
+	if share > 0 {
+		s.requests = 1
+	}
 }
 
 // Forget drops a server.
--- a/pkg/pool/action.go
+++ b/pkg/pool/action.go
@@ -31,6 +31,18 @@
 	Ticket TicketID
 }
 
+// Recheck runs a request that is answered already on a server again, for the evidence only.
+type Recheck struct {
+	ID     RecheckID
+	Ticket TicketID
+	Server azuretiller.ServerID
+}
+
+// Keep asks for the head of a request to be kept for rechecks, in place of the one kept before.
+type Keep struct {
+	Ticket TicketID
+}
+
 // Probe asks the health endpoint of a server before it is tried with work.
 type Probe struct {
 	Server azuretiller.ServerID
@@ -46,5 +58,7 @@
 func (Start) action()   {}
 func (Refuse) action()  {}
 func (Deliver) action() {}
+func (Recheck) action() {}
+func (Keep) action()    {}
 func (Probe) action()   {}
 func (Notice) action()  {}
--- a/pkg/pool/choose.go
+++ b/pkg/pool/choose.go
@@ -54,8 +54,8 @@
 	if suspicion < suspect {
 		return load
 	}
-	verify := r.ticket.Idempotent && first && r.ticket.Retries > 0 && s.busy < verifying && suspicion < 1
-	if verify {
+	verify := r.ticket.Idempotent && first && r.ticket.Retries > 0 && s.busy < verifying
+	if _, convicted := p.detector.Convicted(s.index); verify && !convicted {
 		return load - 1
 	}
 	return load + 10*suspicion
--- a/pkg/pool/figures_test.go
+++ b/pkg/pool/figures_test.go
@@ -73,7 +73,7 @@
 		{"ten times slower, 10/s a server, 3 servers", 3, 10, "-", func(s *fakeServer) { s.slow = 10 }},
 	}
 	for _, tc := range tests {
-		times, missed := detectionTimes(200, tc.servers, tc.perServer, 0.2, tc.fault)
+		times, missed := detectionTimes(1000, tc.servers, tc.perServer, 0.2, tc.fault)
 		figure("ejected: "+tc.desc,
 			fmt.Sprintf("p50 %s p99 %s, missed %d of %d", percentile(times, 0.5).Round(time.Millisecond), percentile(times, 0.99).Round(time.Millisecond), missed, len(times)),
 			tc.target, "-")
--- a/pkg/pool/health.go
+++ b/pkg/pool/health.go
@@ -10,22 +10,34 @@
 
 // judge draws the conclusions from a result for the server that gave it.
 func (p *Pool) judge(now time.Time, r *request, s *server, result Result) []Action {
-	sample := detector.Sample{Server: s.index, Team: r.ticket.Team, Route: r.ticket.Route, Latency: result.Latency}
 	switch result.Kind {
 	case Succeeded:
-		p.settleHeld(r)
-		sample.Cold = p.isCold(now, s)
-		p.detector.Observe(sample)
-		s.ramp.Succeeded(now, r.ticket.Route, result.Latency)
-		actions := p.noteCold(now, s)
-		actions = append(actions, p.concludeTrial(s, true, now)...)
-		return append(actions, p.conclude(now)...)
-	case Shed:
+		failed := p.settleHeld(r)
+		actions := p.observeSuccess(now, s, r.ticket.Team, r.ticket.Route, result.Latency)
+		return append(actions, p.learnSound(now, r, failed, result)...)
+	case Shed, Unreachable:
 		r.notRuns++
+		return p.noteNotRun(now, s, result.Kind)
+	default:
+		return nil
+	}
+}
+
+func (p *Pool) observeSuccess(now time.Time, s *server, team azuretiller.TeamID, route azuretiller.RouteID, latency time.Duration) []Action {
+	p.detector.Observe(detector.Sample{Server: s.index, Team: team, Route: route, Latency: latency, Cold: p.isCold(now, s)})
+	s.ramp.Succeeded(now, route, latency)
+	actions := p.noteCold(now, s)
+	actions = append(actions, p.concludeTrial(s, true, now)...)
+	return append(actions, p.conclude(now)...)
+}
+
+// noteNotRun takes a result that shows that the server did not execute the request.
+func (p *Pool) noteNotRun(now time.Time, s *server, kind ResultKind) []Action {
+	switch kind {
+	case Shed:
 		s.ramp.Shed(now)
 		return nil
 	case Unreachable:
-		r.notRuns++
 		return p.unreachable(now, s)
 	default:
 		return nil
@@ -44,18 +56,26 @@
 		r.held = &sample
 	default:
 		p.detector.Observe(sample)
+		actions = append(actions, p.recheckSound(now, s)...)
 	}
 	return append(actions, p.conclude(now)...)
 }
 
-// settleHeld weighs the first failure of a request after all.
-func (p *Pool) settleHeld(r *request) {
+// settleHeld weighs the first failure of a request after all and returns the server that gave it, if it is still there.
+func (p *Pool) settleHeld(r *request) *server {
 	if r.held == nil {
-		return
+		return nil
 	}
-	p.detector.Observe(*r.held)
+	sample := *r.held
 	r.held = nil
+	p.detector.Observe(sample)
 	// The verdict on the other server is drawn with its next result or tick.
+	for _, s := range p.servers {
+		if s.index == sample.Server {
+			return s
+		}
+	}
+	return nil
 }
 
 // noteCold lowers the limit of a server whose answers became slow, well before the evidence suffices to eject it.
--- a/pkg/pool/pool.go
+++ b/pkg/pool/pool.go
@@ -29,6 +29,9 @@
 	suspect = 0.15
 	// coldSuspicion is the evidence for slowness from which a server is treated as cold.
 	coldSuspicion = 0.4
+	// retryShare is the part of a service's retry budget that serves callers; rechecks get the rest.
+	retryShare   = 0.7
+	retryReserve = 10
 	// verifying is how many idempotent requests at once a suspected server is given to settle the matter.
 	verifying = 2
 )
@@ -40,8 +43,14 @@
 	servers  []*server
 	queue    *fairqueue.Queue[azuretiller.TeamID, azuretiller.RouteID, *request]
 	requests map[TicketID]*request
-	detector *detector.Detector
-	budget   *budget.Budget
+	rechecks map[RecheckID]*recheck
+	// sound is the newest request that can be run again anywhere; its ticket is zero when there is none.
+	sound       soundRead
+	lastRecheck RecheckID
+	detector    *detector.Detector
+	// retries and spare are what callers' retries and rechecks may add to the load.
+	retries  *budget.Budget
+	spare    *budget.Budget
 	slotTime map[azuretiller.RouteID]time.Duration
 	usual    time.Duration
 	heavy    int
@@ -56,8 +65,10 @@
 		check:    check,
 		queue:    fairqueue.New[azuretiller.TeamID, azuretiller.RouteID, *request](),
 		requests: map[TicketID]*request{},
+		rechecks: map[RecheckID]*recheck{},
 		detector: detector.New(detector.DefaultParams()),
-		budget:   budget.New(rules.Budget),
+		retries:  budget.New(retryShare*rules.Budget, retryReserve, 1),
+		spare:    budget.New((1-retryShare)*rules.Budget, recheckReserve, recheckReserve),
 		slotTime: map[azuretiller.RouteID]time.Duration{},
 	}
 }
@@ -65,7 +76,8 @@
 // Configure replaces the rules and servers; a server that stays keeps its state, a new one starts cold.
 func (p *Pool) Configure(now time.Time, rules config.Service, servers []config.Server) []Action {
 	p.rules = rules
-	p.budget.SetRatio(rules.Budget)
+	p.retries.SetRatio(retryShare * rules.Budget)
+	p.spare.SetRatio((1 - retryShare) * rules.Budget)
 	var next []*server
 	for _, c := range servers {
 		s := p.find(c.ID)
@@ -92,11 +104,12 @@
 	if !p.anyUsable() {
 		return []Action{Refuse{Ticket: t.ID, Code: azuretiller.CodeNoServer, RetryAfter: p.soonest(now)}}
 	}
-	if t.Retry && !p.budget.Retry() {
+	if t.Retry && !p.retries.Spend() {
 		return []Action{Refuse{Ticket: t.ID, Code: azuretiller.CodeOverloaded, RetryAfter: time.Second}}
 	}
 	if !t.Retry {
-		p.budget.Request()
+		p.retries.Request()
+		p.spare.Request()
 	}
 	r := &request{ticket: t, queued: now, waitUntil: waitLimit(now, t.Deadline)}
 	var actions []Action
@@ -165,7 +178,7 @@
 	if remaining < p.expected(r.ticket.Route) || !p.alternative(r) {
 		return false
 	}
-	if result.Kind != Unreachable && !p.budget.Retry() {
+	if result.Kind != Unreachable && !p.retries.Spend() {
 		return false
 	}
 	r.ticket.Retries--
--- a/pkg/pool/random_test.go
+++ b/pkg/pool/random_test.go
@@ -34,7 +34,12 @@
 				lookup := s.lookups(4, 0.3, 0.7)
 				rate := rapid.SampledFrom([]float64{5, 50, 400}).Draw(t, "rate")
 				span := time.Duration(rapid.IntRange(100, 3000).Draw(t, "ms")) * time.Millisecond
-				s.arrivals(rate, s.Now().Add(span), func() *order { offered++; return lookup() })
+				s.arrivals(rate, s.Now().Add(span), func() *order {
+					offered++
+					o := lookup()
+					o.readOnly = o.idempotent && offered%3 > 0
+					return o
+				})
 				s.Run(span)
 			},
 			"fail":    func(t *rapid.T) { pick(t).fail = rapid.SampledFrom([]float64{0, 0.1, 0.5, 1}).Draw(t, "fail") },
--- a/pkg/pool/sim_test.go
+++ b/pkg/pool/sim_test.go
@@ -45,6 +45,7 @@
 	team       azuretiller.TeamID
 	route      azuretiller.RouteID
 	idempotent bool
+	readOnly   bool
 	retries    int
 	work       time.Duration
 	// broken requests fail wherever they run.
@@ -62,8 +63,12 @@
 	pool    *pool.Pool
 	servers map[azuretiller.ServerID]*fakeServer
 	orders  map[pool.TicketID]*order
-	next    pool.TicketID
-	notices []pool.Notice
+	// kept is the order that the pool wants kept for rechecks.
+	kept      pool.TicketID
+	keptOrder *order
+	checking  map[pool.RecheckID]*order
+	next      pool.TicketID
+	notices   []pool.Notice
 	// ejectedAt is when each server was first ejected.
 	ejectedAt map[azuretiller.ServerID]time.Time
 	ejections int
@@ -86,6 +91,7 @@
 		random:    rand.New(rand.NewPCG(seed, 3)),
 		servers:   map[azuretiller.ServerID]*fakeServer{},
 		orders:    map[pool.TicketID]*order{},
+		checking:  map[pool.RecheckID]*order{},
 		ejectedAt: map[azuretiller.ServerID]time.Time{},
 		cancelled: map[pool.TicketID]bool{},
 		done:      func(*order, bool, azuretiller.Code) {},
@@ -118,6 +124,11 @@
 			o := s.orders[a.Ticket]
 			delete(s.orders, a.Ticket)
 			s.done(o, o.kind == pool.Succeeded, azuretiller.CodeOK)
+		case pool.Keep:
+			s.kept = a.Ticket
+			s.keptOrder = s.orders[a.Ticket]
+		case pool.Recheck:
+			s.recheck(a)
 		case pool.Probe:
 			server := s.servers[a.Server]
 			s.After(probeTime, func() { s.act(s.pool.Probed(s.Now(), a.Server, !server.dead)) })
@@ -151,6 +162,7 @@
 		Team:       o.team,
 		Route:      o.route,
 		Idempotent: o.idempotent,
+		ReadOnly:   o.readOnly,
 		Retries:    o.retries,
 		Deadline:   s.Now().Add(o.timeout),
 	}))
@@ -158,7 +170,30 @@
 
 func (s *sim) start(a pool.Start) {
 	o := s.orders[a.Ticket]
-	server := s.servers[a.Server]
+	s.run(o, a.Server, o.started.Add(o.timeout).Sub(s.Now()), func(kind pool.ResultKind, took time.Duration) {
+		o.kind = kind
+		s.act(s.pool.Finish(s.Now(), a.Ticket, pool.Result{Kind: kind, Latency: took, Replayable: true}))
+	})
+}
+
+// recheck runs a read that was answered well once more.
+func (s *sim) recheck(a pool.Recheck) {
+	o, ok := s.checking[a.ID]
+	if !ok {
+		o = s.keptOrder
+		if a.Ticket != s.kept || !o.readOnly || o.kind != pool.Succeeded {
+			panic("recheck of an order that is not kept or must not run again")
+		}
+	}
+	s.checking[a.ID] = o
+	s.run(o, a.Server, o.timeout, func(kind pool.ResultKind, took time.Duration) {
+		s.act(s.pool.Rechecked(s.Now(), a.ID, pool.Result{Kind: kind, Latency: took, Replayable: true}))
+	})
+}
+
+// run lets a server work on an order and tells what came of it.
+func (s *sim) run(o *order, id azuretiller.ServerID, limit time.Duration, done func(pool.ResultKind, time.Duration)) {
+	server := s.servers[id]
 	s.sent++
 	server.running++
 	faulty := server.failing == nil || server.failing(s.Now())
@@ -183,20 +218,17 @@
 		o.runs++
 		server.runs++
 	}
-	if limit := o.started.Add(o.timeout).Sub(s.Now()); took > limit {
+	if took > limit {
 		took = limit
 		kind = pool.TimedOut
 	}
-	s.After(took, func() { s.finish(a.Ticket, o, server, kind, took) })
-}
-
-func (s *sim) finish(id pool.TicketID, o *order, server *fakeServer, kind pool.ResultKind, took time.Duration) {
-	server.running--
-	if server.warmWork > 0 {
-		server.warmth = min(1, server.warmth+float64(o.work)/float64(server.warmWork))
-	}
-	o.kind = kind
-	s.act(s.pool.Finish(s.Now(), id, pool.Result{Kind: kind, Latency: took, Replayable: true}))
+	s.After(took, func() {
+		server.running--
+		if server.warmWork > 0 {
+			server.warmth = min(1, server.warmth+float64(o.work)/float64(server.warmWork))
+		}
+		done(kind, took)
+	})
 }
 
 // arrivals offers orders at random times with a mean rate until an end.
@@ -211,6 +243,20 @@
 	})
 }
 
+// warmUp runs traffic of writes until all servers count as warm, and forgets their runs.
+func (s *sim) warmUp() {
+	lookup := s.lookups(4, 0, 0.1)
+	s.arrivals(60, s.Now().Add(30*time.Second), func() *order {
+		o := lookup()
+		o.readOnly = false
+		return o
+	})
+	s.Run(31 * time.Second)
+	for _, server := range s.servers {
+		server.runs = 0
+	}
+}
+
 // heavyTailed returns a time of work with a log-normal distribution around a median.
 func (s *sim) heavyTailed(median time.Duration, sigma float64) time.Duration {
 	return time.Duration(float64(median) * math.Exp(sigma*s.random.NormFloat64()))
@@ -228,6 +274,7 @@
 			retries:    2,
 			work:       s.heavyTailed(10*time.Millisecond, sigma),
 		}
+		o.readOnly = o.idempotent
 		if !o.idempotent {
 			o.route = "orders/confirm"
 		}
--- a/pkg/pool/ticket.go
+++ b/pkg/pool/ticket.go
@@ -17,6 +17,8 @@
 	Weight     int
 	Route      azuretiller.RouteID
 	Idempotent bool
+	// ReadOnly means that the request changes nothing, so that it may also run again after it was answered.
+	ReadOnly bool
 	// Retries is how many further servers the request may be sent to.
 	Retries int
 	// Retry means that the request already failed in another pool.
--- a/pkg/poolhome/home.go
+++ b/pkg/poolhome/home.go
@@ -45,7 +45,11 @@
 	mu       sync.Mutex
 	pool     *pool.Pool
 	snapshot *snapshot.Snapshot
-	waiters  map[pool.TicketID]chan pool.Action
+	sessions map[pool.TicketID]*session
+	// kept is the answered request that the pool may want to recheck servers with.
+	kept *session
+	// checking holds the requests of the rechecks that run.
+	checking map[pool.RecheckID]*session
 	nextID   pool.TicketID
 	lastUse  time.Time
 }
@@ -101,8 +105,9 @@
 			return nil
 		}
 		r = &runner{
-			pool:    pool.New(current.Config.Services[id.Service], h.check),
-			waiters: map[pool.TicketID]chan pool.Action{},
+			pool:     pool.New(current.Config.Services[id.Service], h.check),
+			sessions: map[pool.TicketID]*session{},
+			checking: map[pool.RecheckID]*session{},
 		}
 		h.pools[id] = r
 	}
@@ -138,6 +143,10 @@
 			r.wake(a.Ticket, a)
 		case pool.Deliver:
 			r.wake(a.Ticket, a)
+		case pool.Keep:
+			r.kept = r.sessions[a.Ticket]
+		case pool.Recheck:
+			h.startRecheck(r, id, a)
 		case pool.Probe:
 			go h.probe(r, id, a.Server)
 		case pool.Notice:
@@ -147,8 +156,8 @@
 }
 
 func (r *runner) wake(id pool.TicketID, a pool.Action) {
-	if waiter, ok := r.waiters[id]; ok {
-		waiter <- a
+	if s, ok := r.sessions[id]; ok {
+		s.actions <- a
 	}
 }
 
@@ -178,7 +187,7 @@
 	r.mu.Lock()
 	h.configure(r, id, s, now)
 	h.act(r, id, r.pool.Tick(now))
-	idle := len(r.waiters) == 0 && now.Sub(r.lastUse) > forgetAfter
+	idle := len(r.sessions) == 0 && len(r.checking) == 0 && now.Sub(r.lastUse) > forgetAfter
 	r.mu.Unlock()
 	if p, ok := s.Topology.Find(id); idle && (!ok || p.Home.ID != s.Self.ID) {
 		h.mu.Lock()
--- a/pkg/poolhome/session.go
+++ b/pkg/poolhome/session.go
@@ -127,24 +127,31 @@
 	r.nextID++
 	s.ticket = r.nextID
 	s.actions = make(chan pool.Action, 4)
-	r.waiters[s.ticket] = s.actions
+	r.sessions[s.ticket] = s
 	s.home.act(r, s.request.Pool, r.pool.Offer(s.home.common.Clock.Now(), pool.Ticket{
 		ID:         s.ticket,
 		Team:       s.request.Team,
 		Weight:     s.request.Weight,
 		Route:      s.request.Route,
 		Idempotent: s.request.Idempotent,
+		ReadOnly:   s.readOnly(),
 		Retries:    s.request.Retries,
 		Retry:      s.request.Attempted,
 		Deadline:   s.deadline,
 	}))
 }
 
+// readOnly reports whether the request changes nothing and has no body, so that its head is all that a recheck needs.
+func (s *session) readOnly() bool {
+	read := s.request.Method == http.MethodGet || s.request.Method == http.MethodHead
+	return s.request.Idempotent && read && s.request.Length == 0
+}
+
 // withdraw drops the ticket; the body's reader ends with the stream.
 func (s *session) withdraw() {
 	s.runner.mu.Lock()
 	defer s.runner.mu.Unlock()
-	delete(s.runner.waiters, s.ticket)
+	delete(s.runner.sessions, s.ticket)
 }
 
 // abandon ends a request whose time is over or whose caller is gone while it waits.
@@ -199,14 +206,18 @@
 	s.mayHaveRun = s.mayHaveRun || !answer.Kind.NotRun()
 	s.remember(server, answer)
 	if answer.Crashed {
-		s.home.Crashed(s.fingerprint, server)
-		s.home.reporter.ReportCrash(s.request.Pool.Service, s.fingerprint, server)
+		s.crashed(server)
 	}
 	replayable := s.body.Replayable() && !s.home.held(s.fingerprint)
 	s.finish(pool.Result{Kind: answer.Kind, Latency: answer.Latency, Replayable: replayable})
 	return false
 }
 
+func (s *session) crashed(server azuretiller.ServerID) {
+	s.home.Crashed(s.fingerprint, server)
+	s.home.reporter.ReportCrash(s.request.Pool.Service, s.fingerprint, server)
+}
+
 func (s *session) finish(result pool.Result) {
 	r := s.runner
 	r.mu.Lock()
@@ -276,6 +287,7 @@
 	if err != nil && result.Kind == pool.Succeeded {
 		result.Kind = pool.Cancelled
 	}
+	result.Replayable = result.Kind == pool.Succeeded
 	s.finish(result)
 }
 
