Hand pools over to their next home

Cause: a VM that came to decide for a pool started with cold servers: for up to 10 s the floor kept failing servers in service, ejected ones got work again, and while both homes worked a server could get 4 requests on 3 slots.

Change: the next home starts nothing for up to 0.3 s, asks the former one to stop, and takes over limits, ejections and evidence; what the former home still runs counts against the slots until it has ended. The former home refuses what waits with the new code 3012 (not run), and entry VMs follow the pool to its new home.

Still open: two homes that disagree on who is down both work, the new one cautiously.

--- /dev/null
+++ b/cmd/standin/pkg/demo/drain_test.go
@@ -0,0 +1,113 @@
+package demo
+
+import (
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/azuretiller/azuretiller/pkg/headers"
+	"github.com/azuretiller/azuretiller/pkg/operator"
+)
+
+// TestDrain lets a VM leave while a request runs on it.
+func TestDrain(t *testing.T) {
+	t.Parallel()
+	p := newPath(t)
+	began, finish := make(chan struct{}), make(chan struct{})
+	p.on("/own/once/slow", func(w http.ResponseWriter, _ *http.Request) {
+		close(began)
+		<-finish
+		_, _ = io.WriteString(w, "whole")
+	})
+	result := make(chan reply)
+	request := p.request(t, http.MethodPost, "/own/once/slow", nil, "")
+	request.Header.Set(headers.Timeout, "60000")
+	go func() { result <- p.send(t, 0, request) }()
+	select {
+	case <-began:
+	case got := <-result:
+		require.Fail(t, "the request did not run", "%+v", got)
+	}
+	p.vms[0].stop()
+	for p.stands(p.vms[1], p.vms[0]) {
+		time.Sleep(20 * time.Millisecond)
+	}
+	close(finish)
+	got := <-result
+	require.NoError(t, got.err)
+	require.Equal(t, "whole", string(got.body))
+}
+
+// stands reports whether a VM still names another one in its address answers.
+func (p *path) stands(v, other *vm) bool {
+	for _, live := range v.process.Node().Snapshot().Live {
+		if live.ID == other.settings.VM.ID {
+			return true
+		}
+	}
+	return false
+}
+
+// TestHandover lets the home of a pool leave while it runs a request; the next home knows of it until it ends.
+func TestHandover(t *testing.T) {
+	t.Parallel()
+	p := newPath(t)
+	began, finish := make(chan struct{}), make(chan struct{})
+	p.on("/own/once/slow", func(w http.ResponseWriter, _ *http.Request) {
+		close(began)
+		<-finish
+		_, _ = io.WriteString(w, "whole")
+	})
+	result := make(chan reply)
+	request := p.request(t, http.MethodPost, "/own/once/slow", nil, "")
+	request.Header.Set(headers.Timeout, "60000")
+	go func() { result <- p.send(t, 0, request) }()
+	<-began
+	elsewhere := func(row operator.Server) int { return row.Elsewhere }
+	require.Zero(t, p.count(t, elsewhere))
+	p.stopBusy(t)
+	for p.count(t, elsewhere) == 0 {
+		time.Sleep(20 * time.Millisecond)
+	}
+	close(finish)
+	got := <-result
+	require.NoError(t, got.err)
+	require.Equal(t, "whole", string(got.body))
+	for p.count(t, elsewhere) > 0 {
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// count sums a figure of the servers over the VMs.
+func (p *path) count(t *testing.T, of func(operator.Server) int) int {
+	t.Helper()
+	n := 0
+	for _, v := range p.vms {
+		n += countOn(t, v, of)
+	}
+	return n
+}
+
+func countOn(t *testing.T, v *vm, of func(operator.Server) int) int {
+	t.Helper()
+	n := 0
+	for _, row := range v.process.Node().Dump(t.Context()).Servers {
+		n += of(row)
+	}
+	return n
+}
+
+// stopBusy lets the VM leave that runs a request as the home of a pool.
+func (p *path) stopBusy(t *testing.T) {
+	t.Helper()
+	for _, v := range p.vms {
+		if countOn(t, v, func(row operator.Server) int { return row.Busy }) > 0 {
+			v.stop()
+			return
+		}
+	}
+	require.Fail(t, "no server is busy")
+}
--- a/cmd/standin/pkg/demo/path_test.go
+++ b/cmd/standin/pkg/demo/path_test.go
@@ -21,7 +21,6 @@
 	"github.com/azuretiller/azuretiller"
 	"github.com/azuretiller/azuretiller/cmd/standin/pkg/backend"
 	"github.com/azuretiller/azuretiller/pkg/headers"
-	"github.com/azuretiller/azuretiller/pkg/operator"
 )
 
 // path is a small site with a backend server whose behaviour each test sets by the request's path.
@@ -403,71 +402,3 @@
 		require.NotContains(t, fmt.Sprint(d), fleetSecret)
 	}
 }
-
-// TestDrain lets a VM leave while a request runs on it.
-func TestDrain(t *testing.T) {
-	t.Parallel()
-	p := newPath(t)
-	began, finish := make(chan struct{}), make(chan struct{})
-	p.on("/own/once/slow", func(w http.ResponseWriter, _ *http.Request) {
-		close(began)
-		<-finish
-		_, _ = io.WriteString(w, "whole")
-	})
-	result := make(chan reply)
-	request := p.request(t, http.MethodPost, "/own/once/slow", nil, "")
-	request.Header.Set(headers.Timeout, "60000")
-	go func() { result <- p.send(t, 0, request) }()
-	select {
-	case <-began:
-	case got := <-result:
-		require.Fail(t, "the request did not run", "%+v", got)
-	}
-	p.vms[0].stop()
-	for p.stands(p.vms[1], p.vms[0]) {
-		time.Sleep(20 * time.Millisecond)
-	}
-	close(finish)
-	got := <-result
-	require.NoError(t, got.err)
-	require.Equal(t, "whole", string(got.body))
-}
-
-// stands reports whether a VM still names another one in its address answers.
-func (p *path) stands(v, other *vm) bool {
-	for _, live := range v.process.Node().Snapshot().Live {
-		if live.ID == other.settings.VM.ID {
-			return true
-		}
-	}
-	return false
-}
-
-// TestRacingOperators sends two edits of one branch on the same revision.
-func TestRacingOperators(t *testing.T) {
-	t.Parallel()
-	p := newPath(t)
-	current, err := p.vms[0].client.Tree(t.Context(), "/zones")
-	require.NoError(t, err)
-	verdicts := make([]operator.Verdict, 2)
-	var group sync.WaitGroup
-	for i := range verdicts {
-		group.Go(func() {
-			v, known, err := p.vms[i].client.Edit(t.Context(), operator.Edit{
-				Base:     current.Revision,
-				Operator: fmt.Sprint("operator ", i),
-				Changes:  []operator.Change{set("/teams/alder", "rate", fmt.Sprint(50+i))},
-			})
-			if err == nil && known {
-				verdicts[i] = v
-			}
-		})
-	}
-	group.Wait()
-	require.NotEqual(t, verdicts[0].Accepted, verdicts[1].Accepted, "%+v", verdicts)
-	loser := verdicts[0]
-	if loser.Accepted {
-		loser = verdicts[1]
-	}
-	require.Contains(t, loser.Reason, "was changed by operator")
-}
--- /dev/null
+++ b/cmd/standin/pkg/demo/racing_test.go
@@ -0,0 +1,40 @@
+package demo
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/azuretiller/azuretiller/pkg/operator"
+)
+
+// TestRacingOperators sends two edits of one branch on the same revision.
+func TestRacingOperators(t *testing.T) {
+	t.Parallel()
+	p := newPath(t)
+	current, err := p.vms[0].client.Tree(t.Context(), "/zones")
+	require.NoError(t, err)
+	verdicts := make([]operator.Verdict, 2)
+	var group sync.WaitGroup
+	for i := range verdicts {
+		group.Go(func() {
+			v, known, err := p.vms[i].client.Edit(t.Context(), operator.Edit{
+				Base:     current.Revision,
+				Operator: fmt.Sprint("operator ", i),
+				Changes:  []operator.Change{set("/teams/alder", "rate", fmt.Sprint(50+i))},
+			})
+			if err == nil && known {
+				verdicts[i] = v
+			}
+		})
+	}
+	group.Wait()
+	require.NotEqual(t, verdicts[0].Accepted, verdicts[1].Accepted, "%+v", verdicts)
+	loser := verdicts[0]
+	if loser.Accepted {
+		loser = verdicts[1]
+	}
+	require.Contains(t, loser.Reason, "was changed by operator")
+}
--- a/cmd/tillerctl/pkg/app/objects.go
+++ b/cmd/tillerctl/pkg/app/objects.go
@@ -212,9 +212,9 @@
 			if err != nil {
 				return err
 			}
-			return t.show(rows, "POOL SERVER PHASE REASON BUSY LIMIT DRAINING COLD SUSPICION EJECTIONS OUT_FOR", func(add func(...any)) {
+			return t.show(rows, "POOL SERVER PHASE REASON BUSY ELSEWHERE LIMIT DRAINING COLD SUSPICION EJECTIONS OUT_FOR", func(add func(...any)) {
 				for _, s := range rows {
-					add(s.Pool, s.Server, s.Phase, s.Reason, s.Busy, s.Limit, s.Draining, s.Cold, fmt.Sprintf("%.2f", s.Suspicion), s.Ejections, s.OutFor)
+					add(s.Pool, s.Server, s.Phase, s.Reason, s.Busy, s.Elsewhere, s.Limit, s.Draining, s.Cold, fmt.Sprintf("%.2f", s.Suspicion), s.Ejections, s.OutFor)
 				}
 			})
 		},
--- a/code.go
+++ b/code.go
@@ -26,6 +26,7 @@
 	CodeIDStoreUnavailable Code = 3009
 	CodeShedByServer       Code = 3010
 	CodeConnectFailed      Code = 3011
+	CodePoolMoved          Code = 3012
 	CodeServerFailed       Code = 4000
 	CodeServerTimeout      Code = 4001
 	CodeTruncated          Code = 4002
--- a/code_info.go
+++ b/code_info.go
@@ -43,6 +43,7 @@
 		{CodeIDStoreUnavailable, "id-store-unavailable", 503, NotRun, "The request id could not be recorded before dispatch."},
 		{CodeShedByServer, "shed-by-server", 503, NotRun, "The backend server declared that it did not start the request."},
 		{CodeConnectFailed, "connect-failed", 503, NotRun, "No connection to a backend server could be made."},
+		{CodePoolMoved, "pool-moved", 503, NotRun, "Another VM decides for the pool now."},
 		{CodeServerFailed, "server-failed", 502, MayHaveRun, "The backend server broke off before it answered."},
 		{CodeServerTimeout, "server-timeout", 504, MayHaveRun, "The backend server did not answer within the deadline."},
 		{CodeTruncated, "truncated", 502, MayHaveRun, "The answer broke off; what was delivered is incomplete."},
--- a/pkg/entry/forward.go
+++ b/pkg/entry/forward.go
@@ -21,6 +21,9 @@
 	replayBytes = 64 << 10
 	// mostPools is how many pools a request is offered to.
 	mostPools = 3
+	// moveChecks times moveGap is how long a request waits to learn of the new home of a pool.
+	moveChecks = 50
+	moveGap    = 20 * time.Millisecond
 	// grace is the time beyond a request's limit after which the home of a pool is given up.
 	grace = 2 * time.Second
 )
@@ -123,7 +126,7 @@
 		if head.Timeout <= 0 || ctx.Err() != nil {
 			break
 		}
-		answer, response := c.try(ctx, body, head, p)
+		answer, response := c.follow(ctx, body, head, p)
 		if response.Code == azuretiller.CodeOK {
 			return answer
 		}
@@ -141,6 +144,37 @@
 	return once.Answer{Code: refusal.Code, Kept: true}
 }
 
+// follow offers the request to one pool, and again when the pool has moved to a home that this VM comes to know of.
+func (c *call) follow(ctx context.Context, body *replay.Body, head exchange.Request, p topology.Pool) (once.Answer, exchange.Response) {
+	deadline := c.handler.common.Clock.Now().Add(head.Timeout)
+	answer, response := c.try(ctx, body, head, p)
+	for response.Code == azuretiller.CodePoolMoved && body.Replayable() {
+		next, ok := c.nextHome(ctx, p)
+		head.Timeout = deadline.Sub(c.handler.common.Clock.Now())
+		if !ok || head.Timeout <= 0 {
+			break
+		}
+		p = next
+		answer, response = c.try(ctx, body, head, p)
+	}
+	return answer, response
+}
+
+// nextHome waits until this VM knows another home of a pool, or for a short while.
+func (c *call) nextHome(ctx context.Context, p topology.Pool) (topology.Pool, bool) {
+	for range moveChecks {
+		if next, ok := c.handler.current().Topology.Find(p.ID); ok && next.Home.ID != p.Home.ID {
+			return next, true
+		}
+		select {
+		case <-ctx.Done():
+			return p, false
+		case <-time.After(moveGap):
+		}
+	}
+	return p, false
+}
+
 // try offers the request to one pool and, when there is an answer, passes it on to the caller.
 func (c *call) try(ctx context.Context, body *replay.Body, head exchange.Request, p topology.Pool) (once.Answer, exchange.Response) {
 	c.pool = p.ID
--- a/pkg/node/serve.go
+++ b/pkg/node/serve.go
@@ -12,6 +12,7 @@
 	"github.com/azuretiller/azuretiller/pkg/once"
 	"github.com/azuretiller/azuretiller/pkg/peerpb"
 	"github.com/azuretiller/azuretiller/pkg/peers"
+	"github.com/azuretiller/azuretiller/pkg/poolhome"
 	"github.com/azuretiller/azuretiller/pkg/ratehome"
 	"github.com/azuretiller/azuretiller/pkg/record"
 	"github.com/azuretiller/azuretiller/pkg/wire"
@@ -69,6 +70,9 @@
 	case *peerpb.Call_Crash:
 		n.home.Crashed(crash.Fingerprint(kind.Crash.GetFingerprint()), azuretiller.ServerID(kind.Crash.GetServer()))
 		return &peerpb.Answer{}
+	case *peerpb.Call_Handover:
+		answer := n.home.Handover(peers.DecodeHandoverRequest(kind.Handover))
+		return &peerpb.Answer{Kind: &peerpb.Answer_Handover{Handover: peers.EncodeHandover(answer)}}
 	default:
 		return &peerpb.Answer{Error: "unknown call"}
 	}
@@ -183,3 +187,8 @@
 		n.common.Log.WithField("vm", to.ID).WithField("error", err).Debug("crash not reported")
 	}
 }
+
+// Handover asks a VM for a pool that this VM decides for since a version.
+func (n *Node) Handover(ctx context.Context, from azuretiller.VM, id azuretiller.PoolID, version azuretiller.Revision) (poolhome.Handover, error) {
+	return n.peers.Handover(ctx, from, id, version)
+}
--- a/pkg/node/state.go
+++ b/pkg/node/state.go
@@ -114,6 +114,7 @@
 				Phase:     r.Phase,
 				Reason:    r.Reason,
 				Busy:      r.Busy,
+				Elsewhere: r.Elsewhere,
 				Limit:     r.Limit,
 				Draining:  r.Draining,
 				Cold:      r.Cold,
--- a/pkg/operator/types.go
+++ b/pkg/operator/types.go
@@ -60,6 +60,7 @@
 		Phase     string  `json:"phase"`
 		Reason    string  `json:"reason,omitempty"`
 		Busy      int     `json:"busy"`
+		Elsewhere int     `json:"elsewhere"`
 		Limit     int     `json:"limit"`
 		Draining  bool    `json:"draining"`
 		Cold      bool    `json:"cold"`
--- /dev/null
+++ b/pkg/peers/handover_codec.go
@@ -0,0 +1,62 @@
+package peers
+
+import (
+	"github.com/azuretiller/azuretiller"
+	"github.com/azuretiller/azuretiller/pkg/peerpb"
+	"github.com/azuretiller/azuretiller/pkg/pool"
+	"github.com/azuretiller/azuretiller/pkg/poolhome"
+)
+
+func encodeHandoverRequest(id azuretiller.PoolID, version azuretiller.Revision) *peerpb.HandoverRequest {
+	return &peerpb.HandoverRequest{
+		Service: string(id.Service),
+		Zone:    string(id.Zone),
+		Pool:    uint32(id.Index),
+		Version: uint64(version),
+	}
+}
+
+// DecodeHandoverRequest returns the pool and the version that a VM asks for.
+func DecodeHandoverRequest(m *peerpb.HandoverRequest) (azuretiller.PoolID, azuretiller.Revision) {
+	id := azuretiller.PoolID{
+		Service: azuretiller.ServiceID(m.GetService()),
+		Zone:    azuretiller.Zone(m.GetZone()),
+		Index:   int(m.GetPool()),
+	}
+	return id, azuretiller.Revision(m.GetVersion())
+}
+
+// EncodeHandover returns the message for the answer of a former home.
+func EncodeHandover(h poolhome.Handover) *peerpb.HandoverAnswer {
+	m := &peerpb.HandoverAnswer{State: uint32(h.State)}
+	for _, s := range h.Knowledge.Servers {
+		m.Servers = append(m.Servers, &peerpb.ServerState{
+			Server:    string(s.Server),
+			Limit:     uint32(s.Limit),
+			Busy:      uint32(s.Busy),
+			Out:       s.Out,
+			Reason:    s.Reason,
+			OutForUs:  s.OutFor.Microseconds(),
+			Ejections: uint32(s.Ejections),
+			Suspicion: s.Suspicion,
+		})
+	}
+	return m
+}
+
+func decodeHandover(m *peerpb.HandoverAnswer) poolhome.Handover {
+	h := poolhome.Handover{State: poolhome.HandoverState(m.GetState())}
+	for _, s := range m.GetServers() {
+		h.Knowledge.Servers = append(h.Knowledge.Servers, pool.ServerKnowledge{
+			Server:    azuretiller.ServerID(s.GetServer()),
+			Limit:     int(s.GetLimit()),
+			Busy:      int(s.GetBusy()),
+			Out:       s.GetOut(),
+			Reason:    s.GetReason(),
+			OutFor:    micros(s.GetOutForUs()),
+			Ejections: int(s.GetEjections()),
+			Suspicion: s.GetSuspicion(),
+		})
+	}
+	return h
+}
--- a/pkg/peers/peers.go
+++ b/pkg/peers/peers.go
@@ -10,6 +10,7 @@
 	"github.com/azuretiller/azuretiller/pkg/crash"
 	"github.com/azuretiller/azuretiller/pkg/once"
 	"github.com/azuretiller/azuretiller/pkg/peerpb"
+	"github.com/azuretiller/azuretiller/pkg/poolhome"
 	"github.com/azuretiller/azuretiller/pkg/ratehome"
 	"github.com/azuretiller/azuretiller/pkg/record"
 )
@@ -86,6 +87,15 @@
 	return err
 }
 
+// Handover asks a VM for a pool that this VM decides for since a version.
+func (p *Peers) Handover(ctx context.Context, from azuretiller.VM, id azuretiller.PoolID, version azuretiller.Revision) (poolhome.Handover, error) {
+	answer, err := p.caller.Call(ctx, from, &peerpb.Call{Kind: &peerpb.Call_Handover{Handover: encodeHandoverRequest(id, version)}})
+	if err != nil {
+		return poolhome.Handover{}, err
+	}
+	return decodeHandover(answer.GetHandover()), nil
+}
+
 // Records asks a VM for the records from an offset on; the event's times are left to the caller.
 func (p *Peers) Records(ctx context.Context, to azuretiller.VM, from azuretiller.Offset) (control.RecordsFetched, error) {
 	answer, err := p.caller.Call(ctx, to, &peerpb.Call{Kind: &peerpb.Call_Records{Records: &peerpb.RecordsRequest{From: uint64(from)}}})
--- a/pkg/pool/choose.go
+++ b/pkg/pool/choose.go
@@ -8,6 +8,9 @@
 )
 
 func (p *Pool) pickFree(now time.Time) []*server {
+	if now.Before(p.heldUntil) {
+		return nil
+	}
 	var free []*server
 	for _, s := range p.servers {
 		if s.room(now) > 0 {
@@ -46,7 +49,7 @@
 }
 
 func (p *Pool) score(s *server, r *request, first bool) float64 {
-	load := float64(s.busy) / float64(max(s.ramp.Size(), 1))
+	load := float64(s.taken()) / float64(max(s.ramp.Size(), 1))
 	suspicion := p.detector.Suspicion(s.index)
 	if s.phase == onTrial {
 		return -1
--- a/pkg/pool/pool.go
+++ b/pkg/pool/pool.go
@@ -47,7 +47,11 @@
 	// sound is the newest request that can be run again anywhere; its ticket is zero when there is none.
 	sound       soundRead
 	lastRecheck RecheckID
-	detector    *detector.Detector
+	// moved means that another VM decides for the pool now.
+	moved bool
+	// heldUntil is when requests are started even if the former home has not answered.
+	heldUntil time.Time
+	detector  *detector.Detector
 	// retries and spare are what callers' retries and rechecks may add to the load.
 	retries  *budget.Budget
 	spare    *budget.Budget
@@ -101,6 +105,9 @@
 
 // Offer asks for a request to be run.
 func (p *Pool) Offer(now time.Time, t Ticket) []Action {
+	if p.moved {
+		return []Action{Refuse{Ticket: t.ID, Code: azuretiller.CodePoolMoved, RetryAfter: movedRetry}}
+	}
 	if !p.anyUsable() {
 		return []Action{Refuse{Ticket: t.ID, Code: azuretiller.CodeNoServer, RetryAfter: p.soonest(now)}}
 	}
@@ -168,7 +175,7 @@
 
 // retry puts a request back into the queue when it may and can run on another server.
 func (p *Pool) retry(now time.Time, r *request, result Result) bool {
-	if !result.Replayable || r.ticket.Retries <= 0 || result.Kind == Succeeded || result.Kind == Cancelled {
+	if p.moved || !result.Replayable || r.ticket.Retries <= 0 || result.Kind == Succeeded || result.Kind == Cancelled {
 		return false
 	}
 	if !r.ticket.Idempotent && !result.Kind.NotRun() {
@@ -200,7 +207,7 @@
 	var actions []Action
 	for _, r := range p.queue.Remove(func(r *request) bool { return !now.Before(r.waitUntil) }) {
 		delete(p.requests, r.ticket.ID)
-		actions = append(actions, p.endWait(r)...)
+		actions = append(actions, p.endWait(r, azuretiller.CodeQueueTimeout)...)
 	}
 	for _, s := range p.servers {
 		if s.phase == ejected && !s.draining && !now.Before(s.until) {
@@ -212,12 +219,12 @@
 }
 
 // endWait refuses a request that never ran, and delivers the earlier result of one that waited for a retry.
-func (p *Pool) endWait(r *request) []Action {
+func (p *Pool) endWait(r *request, code azuretiller.Code) []Action {
 	p.settleHeld(r)
 	if r.starts > r.notRuns {
 		return []Action{Deliver{Ticket: r.ticket.ID}}
 	}
-	return []Action{Refuse{Ticket: r.ticket.ID, Code: azuretiller.CodeQueueTimeout, RetryAfter: p.drainTime()}}
+	return []Action{Refuse{Ticket: r.ticket.ID, Code: code, RetryAfter: p.drainTime()}}
 }
 
 // pump starts waiting requests while servers have room.
@@ -245,7 +252,8 @@
 }
 
 func (p *Pool) start(now time.Time, r *request, s *server) Action {
-	p.check.That(s.busy < p.rules.Slots, "server %s would run %d requests with %d slots", s.id, s.busy+1, p.rules.Slots)
+	p.check.That(s.taken() < p.rules.Slots, "server %s would run %d requests with %d slots", s.id, s.taken()+1, p.rules.Slots)
+	p.check.That(!p.moved, "a pool that moved would start request %d", r.ticket.ID)
 	p.check.That(s.usable(), "server %s is %s or draining and would get work", s.id, s.phase)
 	p.check.That(r.ticket.Idempotent || r.starts == r.notRuns, "request %d would run twice", r.ticket.ID)
 	s.busy++
--- a/pkg/pool/random_test.go
+++ b/pkg/pool/random_test.go
@@ -50,16 +50,21 @@
 			"cancel":  func(t *rapid.T) { cancelOne(t, s) },
 			"wait":    func(t *rapid.T) { s.Run(time.Duration(rapid.IntRange(1, 20).Draw(t, "s")) * time.Second) },
 			"replace": func(t *rapid.T) { replaceServers(t, s, count) },
+			"hand over": func(t *rapid.T) {
+				s.handOver(service, servers, time.Duration(rapid.IntRange(0, 200).Draw(t, "ms"))*time.Millisecond)
+			},
 			"drain": func(t *rapid.T) {
 				i := rapid.IntRange(0, count-1).Draw(t, "index")
 				servers[i].Drain = !servers[i].Drain
-				s.act(s.pool.Configure(s.Now(), service, servers))
+				s.act(s.pool, s.pool.Configure(s.Now(), service, servers))
 			},
 		})
 		s.Run(time.Minute)
 		require.Equal(t, offered, ended+cancelled(s), "requests that were neither answered nor refused")
-		for _, r := range s.pool.Report(s.Now()) {
-			require.Zero(t, r.Busy, "slots of %s are taken for good", r.Server)
+		for _, p := range s.pools {
+			for _, r := range p.Report(s.Now()) {
+				require.Zero(t, r.Busy, "slots of %s are taken for good", r.Server)
+			}
 		}
 	})
 }
@@ -75,7 +80,7 @@
 		return
 	}
 	s.cancelled[id] = true
-	s.act(s.pool.Cancel(s.Now(), id))
+	s.act(s.pool, s.pool.Cancel(s.Now(), id))
 }
 
 // cancelled counts the requests whose callers went away and that got no answer any more.
@@ -92,6 +97,7 @@
 func replaceServers(t *rapid.T, s *sim, count int) {
 	service, servers := rules(count)
 	keep := rapid.IntRange(1, count).Draw(t, "keep")
-	s.act(s.pool.Configure(s.Now(), service, servers[:keep]))
-	s.act(s.pool.Configure(s.Now(), service, servers))
+	s.exact = false
+	s.act(s.pool, s.pool.Configure(s.Now(), service, servers[:keep]))
+	s.act(s.pool, s.pool.Configure(s.Now(), service, servers))
 }
--- a/pkg/pool/recheck.go
+++ b/pkg/pool/recheck.go
@@ -81,7 +81,7 @@
 	if c.left == 0 || !p.inDoubt(s) || s.room(now) <= 0 || !p.spare.Spend() {
 		return nil
 	}
-	p.check.That(s.busy < p.rules.Slots, "server %s would recheck a request with %d slots taken", s.id, s.busy)
+	p.check.That(s.taken() < p.rules.Slots, "server %s would recheck a request with %d slots taken", s.id, s.taken())
 	c.left--
 	s.busy++
 	p.rechecks[id] = c
@@ -90,7 +90,7 @@
 
 // inDoubt reports whether there is evidence against a server in service that does not eject it yet.
 func (p *Pool) inDoubt(s *server) bool {
-	if s.phase != active || p.detector.Suspicion(s.index) < cleared {
+	if p.moved || s.phase != active || p.detector.Suspicion(s.index) < cleared {
 		return false
 	}
 	_, convicted := p.detector.Convicted(s.index)
--- a/pkg/pool/report.go
+++ b/pkg/pool/report.go
@@ -8,12 +8,14 @@
 
 // ServerReport is the state of one server for dumps and operators.
 type ServerReport struct {
-	Server   azuretiller.ServerID
-	Phase    string
-	Reason   string
-	Busy     int
-	Limit    int
-	Draining bool
+	Server azuretiller.ServerID
+	Phase  string
+	Reason string
+	Busy   int
+	// Elsewhere is how many requests the former home of the pool still runs on the server.
+	Elsewhere int
+	Limit     int
+	Draining  bool
 	// Cold means that the server does not count as capacity for the floor yet.
 	Cold       bool
 	Suspicion  float64
@@ -31,6 +33,7 @@
 			Phase:      s.phase.String(),
 			Reason:     s.reason,
 			Busy:       s.busy,
+			Elsewhere:  s.elsewhere,
 			Limit:      s.ramp.Size(),
 			Draining:   s.draining,
 			Cold:       p.isCold(now, s),
--- a/pkg/pool/server.go
+++ b/pkg/pool/server.go
@@ -52,7 +52,9 @@
 	id    azuretiller.ServerID
 	index int
 	ramp  *ramp.Ramp
-	busy  int
+	// elsewhere is how many requests the former home of the pool still runs on the server.
+	elsewhere int
+	busy      int
 	// lastStart numbers the last start on this server among all starts of the pool.
 	lastStart uint64
 	phase     phase
@@ -79,9 +81,12 @@
 	if s.phase == onTrial {
 		limit = min(limit, 1)
 	}
-	return limit - s.busy
+	return limit - s.taken()
 }
 
+// taken returns the slots that are taken, also by the former home of the pool.
+func (s *server) taken() int { return s.busy + s.elsewhere }
+
 // ejectionTime doubles with each ejection that is not forgiven yet.
 func (s *server) ejectionTime(now time.Time) time.Duration {
 	if !s.returned.IsZero() && now.Sub(s.returned) > forgiveAfter {
--- a/pkg/pool/sim_test.go
+++ b/pkg/pool/sim_test.go
@@ -59,16 +59,20 @@
 // sim drives one pool with fake servers in virtual time.
 type sim struct {
 	*virtualtime.Schedule
-	random  *rand.Rand
-	pool    *pool.Pool
+	random *rand.Rand
+	pool   *pool.Pool
+	pools  []*pool.Pool
+	// former is the former home of the pool while senders still know it as the home.
+	former  *pool.Pool
 	servers map[azuretiller.ServerID]*fakeServer
 	orders  map[pool.TicketID]*order
 	// kept is the order that the pool wants kept for rechecks.
-	kept      pool.TicketID
-	keptOrder *order
-	checking  map[pool.RecheckID]*order
-	next      pool.TicketID
-	notices   []pool.Notice
+	kept     map[*pool.Pool]*order
+	checking map[check]*order
+	// exact means that no server may run more than its slots, whichever pools send it work.
+	exact   bool
+	next    pool.TicketID
+	notices []pool.Notice
 	// ejectedAt is when each server was first ejected.
 	ejectedAt map[azuretiller.ServerID]time.Time
 	ejections int
@@ -77,6 +81,12 @@
 	cancelled map[pool.TicketID]bool
 }
 
+// check is one recheck of one pool.
+type check struct {
+	pool *pool.Pool
+	id   pool.RecheckID
+}
+
 func rules(servers int) (config.Service, []config.Server) {
 	r := config.Service{ID: "orders", Slots: testSlots, Queue: 64, Floor: 0.5, Budget: 0.1, Warmup: 10 * time.Second}
 	for i := range servers {
@@ -91,7 +101,9 @@
 		random:    rand.New(rand.NewPCG(seed, 3)),
 		servers:   map[azuretiller.ServerID]*fakeServer{},
 		orders:    map[pool.TicketID]*order{},
-		checking:  map[pool.RecheckID]*order{},
+		kept:      map[*pool.Pool]*order{},
+		checking:  map[check]*order{},
+		exact:     true,
 		ejectedAt: map[azuretiller.ServerID]time.Time{},
 		cancelled: map[pool.TicketID]bool{},
 		done:      func(*order, bool, azuretiller.Code) {},
@@ -101,37 +113,47 @@
 		s.servers[c.ID] = &fakeServer{id: c.ID, warmth: 1}
 	}
 	s.pool = pool.New(service, invariant.NewPanicking())
-	s.act(s.pool.Configure(s.Now(), service, servers))
-	s.After(poolTick, s.tick)
+	s.adopt(s.pool, service, servers)
 	return s
 }
 
-func (s *sim) tick() {
-	s.act(s.pool.Tick(s.Now()))
-	s.After(poolTick, s.tick)
+// adopt configures a pool and drives its time.
+func (s *sim) adopt(p *pool.Pool, service config.Service, servers []config.Server) {
+	s.pool = p
+	s.pools = append(s.pools, p)
+	s.act(p, p.Configure(s.Now(), service, servers))
+	s.After(poolTick, func() { s.tick(p) })
 }
 
-func (s *sim) act(actions []pool.Action) {
+func (s *sim) tick(p *pool.Pool) {
+	s.act(p, p.Tick(s.Now()))
+	s.After(poolTick, func() { s.tick(p) })
+}
+
+func (s *sim) act(p *pool.Pool, actions []pool.Action) {
 	for _, action := range actions {
 		switch a := action.(type) {
 		case pool.Start:
-			s.start(a)
+			s.start(p, a)
 		case pool.Refuse:
 			o := s.orders[a.Ticket]
 			delete(s.orders, a.Ticket)
+			if a.Code == azuretiller.CodePoolMoved && p != s.pool {
+				s.offerTo(s.pool, o)
+				continue
+			}
 			s.done(o, false, a.Code)
 		case pool.Deliver:
 			o := s.orders[a.Ticket]
 			delete(s.orders, a.Ticket)
 			s.done(o, o.kind == pool.Succeeded, azuretiller.CodeOK)
 		case pool.Keep:
-			s.kept = a.Ticket
-			s.keptOrder = s.orders[a.Ticket]
+			s.kept[p] = s.orders[a.Ticket]
 		case pool.Recheck:
-			s.recheck(a)
+			s.recheck(p, a)
 		case pool.Probe:
 			server := s.servers[a.Server]
-			s.After(probeTime, func() { s.act(s.pool.Probed(s.Now(), a.Server, !server.dead)) })
+			s.After(probeTime, func() { s.act(p, p.Probed(s.Now(), a.Server, !server.dead)) })
 		case pool.Notice:
 			s.notice(a)
 		}
@@ -149,45 +171,57 @@
 	}
 }
 
+// offer sends an order to the pool, or to its former home while the sender does not know better.
 func (s *sim) offer(o *order) {
+	if s.former != nil && s.random.IntN(2) == 0 {
+		s.offerTo(s.former, o)
+		return
+	}
+	s.offerTo(s.pool, o)
+}
+
+func (s *sim) offerTo(p *pool.Pool, o *order) {
 	s.next++
 	id := s.next
-	o.started = s.Now()
+	if o.started.IsZero() {
+		o.started = s.Now()
+	}
 	if o.timeout == 0 {
 		o.timeout = 3 * time.Second
 	}
 	s.orders[id] = o
-	s.act(s.pool.Offer(s.Now(), pool.Ticket{
+	s.act(p, p.Offer(s.Now(), pool.Ticket{
 		ID:         id,
 		Team:       o.team,
 		Route:      o.route,
 		Idempotent: o.idempotent,
 		ReadOnly:   o.readOnly,
 		Retries:    o.retries,
-		Deadline:   s.Now().Add(o.timeout),
+		Deadline:   o.started.Add(o.timeout),
 	}))
 }
 
-func (s *sim) start(a pool.Start) {
+func (s *sim) start(p *pool.Pool, a pool.Start) {
 	o := s.orders[a.Ticket]
 	s.run(o, a.Server, o.started.Add(o.timeout).Sub(s.Now()), func(kind pool.ResultKind, took time.Duration) {
 		o.kind = kind
-		s.act(s.pool.Finish(s.Now(), a.Ticket, pool.Result{Kind: kind, Latency: took, Replayable: true}))
+		s.act(p, p.Finish(s.Now(), a.Ticket, pool.Result{Kind: kind, Latency: took, Replayable: true}))
 	})
 }
 
 // recheck runs a read that was answered well once more.
-func (s *sim) recheck(a pool.Recheck) {
-	o, ok := s.checking[a.ID]
+func (s *sim) recheck(p *pool.Pool, a pool.Recheck) {
+	key := check{p, a.ID}
+	o, ok := s.checking[key]
 	if !ok {
-		o = s.keptOrder
-		if a.Ticket != s.kept || !o.readOnly || o.kind != pool.Succeeded {
+		o = s.kept[p]
+		if !o.readOnly || o.kind != pool.Succeeded {
 			panic("recheck of an order that is not kept or must not run again")
 		}
 	}
-	s.checking[a.ID] = o
+	s.checking[key] = o
 	s.run(o, a.Server, o.timeout, func(kind pool.ResultKind, took time.Duration) {
-		s.act(s.pool.Rechecked(s.Now(), a.ID, pool.Result{Kind: kind, Latency: took, Replayable: true}))
+		s.act(p, p.Rechecked(s.Now(), a.ID, pool.Result{Kind: kind, Latency: took, Replayable: true}))
 	})
 }
 
@@ -196,6 +230,9 @@
 	server := s.servers[id]
 	s.sent++
 	server.running++
+	if s.exact && server.running > testSlots {
+		panic("a server runs more than its slots")
+	}
 	faulty := server.failing == nil || server.failing(s.Now())
 	took := time.Duration(float64(o.work) * (1 + (coldFactor-1)*(1-server.warmth)))
 	if faulty && server.slow > 1 {
--- a/pkg/poolhome/home.go
+++ b/pkg/poolhome/home.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,21 +18,16 @@
 	"github.com/azuretiller/azuretiller/pkg/wire"
 )
 
-// Reporter tells the homes of a service's other pools about a crash.
-type Reporter interface {
-	// ReportCrash passes on that a server crashed while it ran a request. It returns once the others know, or after a
-	// short while, so that the request cannot come back to one that does not know.
-	ReportCrash(service azuretiller.ServiceID, f crash.Fingerprint, server azuretiller.ServerID)
-}
-
 // Home holds the pools of one VM.
 type Home struct {
-	common   *common.Common
-	check    *invariant.Checker
-	sender   *dispatch.Sender
-	reporter Reporter
-	current  func() *snapshot.Snapshot
+	common  *common.Common
+	check   *invariant.Checker
+	sender  *dispatch.Sender
+	peers   Peers
+	current func() *snapshot.Snapshot
 
+	// seen is the snapshot of the last tick.
+	seen    *snapshot.Snapshot
 	mu      sync.Mutex
 	pools   map[azuretiller.PoolID]*runner
 	crashMu sync.Mutex
@@ -50,23 +46,26 @@
 	kept *session
 	// checking holds the requests of the rechecks that run.
 	checking map[pool.RecheckID]*session
-	nextID   pool.TicketID
-	lastUse  time.Time
+	// home means that this VM decides for the pool, and movedAt is the version at which another one took it over.
+	home    bool
+	movedAt azuretiller.Revision
+	nextID  pool.TicketID
+	lastUse time.Time
 }
 
 // forgetAfter is the time after which a pool that was not used and has another home is forgotten.
 const forgetAfter = time.Minute
 
 // New returns a home without pools; current returns the newest snapshot.
-func New(c *common.Common, check *invariant.Checker, sender *dispatch.Sender, reporter Reporter, current func() *snapshot.Snapshot) *Home {
+func New(c *common.Common, check *invariant.Checker, sender *dispatch.Sender, peers Peers, current func() *snapshot.Snapshot) *Home {
 	return &Home{
-		common:   c,
-		check:    check,
-		sender:   sender,
-		reporter: reporter,
-		current:  current,
-		pools:    map[azuretiller.PoolID]*runner{},
-		crashes:  crash.New(),
+		common:  c,
+		check:   check,
+		sender:  sender,
+		peers:   peers,
+		current: current,
+		pools:   map[azuretiller.PoolID]*runner{},
+		crashes: crash.New(),
 	}
 }
 
@@ -126,6 +125,7 @@
 	}
 	known := r.snapshot != nil && r.snapshot.Config == s.Config
 	r.snapshot = s
+	h.noteHome(r, id, s, now)
 	if known {
 		return
 	}
@@ -168,21 +168,37 @@
 	h.act(r, id, r.pool.Probed(h.common.Clock.Now(), server, ok))
 }
 
-// Tick advances time in all pools.
+// Tick advances time in all pools and takes over those that this VM has come to decide for.
 func (h *Home) Tick() {
 	now := h.common.Clock.Now()
 	current := h.current()
-	h.mu.Lock()
-	runners := make(map[azuretiller.PoolID]*runner, len(h.pools))
-	for id, r := range h.pools {
-		runners[id] = r
+	if h.seen != current {
+		h.seen = current
+		h.adopt(current)
 	}
-	h.mu.Unlock()
-	for id, r := range runners {
+	for id, r := range h.runners() {
 		h.tick(r, id, current, now)
 	}
 }
 
+// adopt makes the runners of the pools that this VM decides for, so that a takeover does not wait for a request.
+func (h *Home) adopt(s *snapshot.Snapshot) {
+	for _, pools := range s.Topology {
+		for _, p := range pools {
+			if p.Home.ID == s.Self.ID {
+				h.runner(p.ID)
+			}
+		}
+	}
+}
+
+// runners returns a copy of the runners by pool.
+func (h *Home) runners() map[azuretiller.PoolID]*runner {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return maps.Clone(h.pools)
+}
+
 func (h *Home) tick(r *runner, id azuretiller.PoolID, s *snapshot.Snapshot, now time.Time) {
 	r.mu.Lock()
 	h.configure(r, id, s, now)
@@ -233,12 +249,7 @@
 // Report returns the state of all pools here.
 func (h *Home) Report() map[azuretiller.PoolID][]pool.ServerReport {
 	now := h.common.Clock.Now()
-	h.mu.Lock()
-	runners := make(map[azuretiller.PoolID]*runner, len(h.pools))
-	for id, r := range h.pools {
-		runners[id] = r
-	}
-	h.mu.Unlock()
+	runners := h.runners()
 	out := make(map[azuretiller.PoolID][]pool.ServerReport, len(runners))
 	for id, r := range runners {
 		r.mu.Lock()
--- a/pkg/poolhome/session.go
+++ b/pkg/poolhome/session.go
@@ -215,7 +215,7 @@
 
 func (s *session) crashed(server azuretiller.ServerID) {
 	s.home.Crashed(s.fingerprint, server)
-	s.home.reporter.ReportCrash(s.request.Pool.Service, s.fingerprint, server)
+	s.home.peers.ReportCrash(s.request.Pool.Service, s.fingerprint, server)
 }
 
 func (s *session) finish(result pool.Result) {
--- a/pkg/ramp/ramp.go
+++ b/pkg/ramp/ramp.go
@@ -87,6 +87,13 @@
 	r.coldSince = now
 }
 
+// Resume goes on at a limit that the server has borne before.
+func (r *Ramp) Resume(limit int) {
+	if limit = min(limit, r.slots); limit > r.limit {
+		r.fall(limit)
+	}
+}
+
 func (r *Ramp) fall(limit int) {
 	r.limit = limit
 	r.routes = map[azuretiller.RouteID]*means{}
--- a/pkg/topology/topology.go
+++ b/pkg/topology/topology.go
@@ -74,6 +74,17 @@
 	return vm
 }
 
+// HomeAmong returns the VM that would decide for a pool if only the given VMs were there.
+func HomeAmong(id azuretiller.PoolID, vms []azuretiller.VM) azuretiller.VM {
+	var near []azuretiller.VM
+	for _, vm := range vms {
+		if vm.Zone == id.Zone {
+			near = append(near, vm)
+		}
+	}
+	return home(id, near, vms)
+}
+
 // Find returns a pool and whether there is one.
 func (t Topology) Find(id azuretiller.PoolID) (Pool, bool) {
 	for _, p := range t[id.Service] {
