--- a/cmd/standin/pkg/capacity/parts.go
+++ b/cmd/standin/pkg/capacity/parts.go
@@ -29,24 +29,17 @@
 	targetZones    = 5
 )
 
-func heap() float64 {
-	runtime.GC()
-	var m runtime.MemStats
-	runtime.ReadMemStats(&m)
-	return float64(m.HeapAlloc)
-}
-
-// targetTree returns settings of a part of the target's size.
-func targetTree(part float64) *tree.Tree {
+// targetTree returns settings of the target's size.
+func targetTree() *tree.Tree {
 	branches := map[string]map[string]string{}
-	for i := range int(targetTeams * part) {
+	for i := range targetTeams {
 		branches[fmt.Sprintf("/teams/team%d/keys/%064x", i, i)] = map[string]string{"label": `"k"`}
 	}
-	for i := range int(targetRoutes * part) {
+	for i := range targetRoutes {
 		service := i % targetServices
 		branches[fmt.Sprintf("/services/s%d/routes/r%d", service, i)] = map[string]string{"prefix": fmt.Sprintf(`"/s%d/r%d"`, service, i)}
 	}
-	for i := range int(targetWorkers * part) {
+	for i := range targetWorkers {
 		path := fmt.Sprintf("/services/s%d/servers/10.%d.%d.1:80", i%targetServices, i/250, i%250)
 		branches[path] = map[string]string{"zone": fmt.Sprintf(`"z%d"`, i/targetServices%targetZones)}
 	}
@@ -69,13 +62,13 @@
 
 // settings measures the settings at the target's size.
 func settings() []Slope {
-	before := heap()
-	t := targetTree(1)
+	before := demo.HeapBytes()
+	t := targetTree()
 	c, err := config.Compile(t)
 	if err != nil {
 		panic(errors.Wrap(err, "compile the target's settings"))
 	}
-	memory := heap() - before
+	memory := demo.HeapBytes() - before
 	start := time.Now()
 	_, _, err = journal.Try(t, []azuretiller.Change{{Kind: azuretiller.ChangeSet, Path: "/teams/team7", Field: "rate", Value: "5"}})
 	if err != nil {
@@ -115,9 +108,9 @@
 	}
 	now := time.Now()
 	held := map[azuretiller.VMID]*ratehome.Home{}
-	before := heap()
+	before := demo.HeapBytes()
 	draws, first := drawAll(c, members, held, now)
-	memory := (heap() - before) / float64(draws)
+	memory := (demo.HeapBytes() - before) / float64(draws)
 	_, again := drawAll(c, members, held, now)
 	runtime.KeepAlive(held)
 	return []Slope{
@@ -152,7 +145,7 @@
 
 func requestIDs() float64 {
 	const count = 20000
-	before := heap()
+	before := demo.HeapBytes()
 	now := time.Now()
 	r := once.New(now)
 	for i := range count {
@@ -160,7 +153,7 @@
 		r.Reserve(key, "owner", make([]byte, 32), now)
 		r.Finish(key, "owner", once.Answer{Code: azuretiller.CodeOK, Status: 200, Body: make([]byte, 200), Kept: true}, now)
 	}
-	memory := (heap() - before) / count
+	memory := (demo.HeapBytes() - before) / count
 	runtime.KeepAlive(r)
 	return memory
 }
--- a/cmd/standin/pkg/demo/demo.go
+++ b/cmd/standin/pkg/demo/demo.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/azuretiller/azuretiller"
 	"github.com/azuretiller/azuretiller/cmd/standin/pkg/backend"
 	"github.com/azuretiller/azuretiller/pkg/operator"
 )
@@ -145,7 +146,7 @@
 	start := time.Now()
 	_, err := d.site.edit(ctx, "withdraw a key", operator.Change{
 		Kind: "delete",
-		Path: "/teams/" + gonerTeam + "/keys/" + hashOf(keyOf(gonerTeam)),
+		Path: "/teams/" + gonerTeam + "/keys/" + string(azuretiller.HashKey(keyOf(gonerTeam))),
 	})
 	if err != nil {
 		return err
--- a/cmd/standin/pkg/demo/measure.go
+++ b/cmd/standin/pkg/demo/measure.go
@@ -35,7 +35,7 @@
 func MeasureIdle(ctx context.Context, vms, zoneCount int, span time.Duration) (IdleCost, error) {
 	s := newSite(io.Discard, "error")
 	defer s.close()
-	before := heapBytes()
+	before := HeapBytes()
 	if err := s.startPlatform(ctx); err != nil {
 		return IdleCost{}, err
 	}
@@ -55,7 +55,7 @@
 		PeerBytes: float64(s.peerBytes()-bytes) / span.Seconds() / count,
 		CPU:       (cpuTime() - cpu).Seconds() / span.Seconds() / count,
 	}
-	cost.Heap = (heapBytes() - before) / count
+	cost.Heap = (HeapBytes() - before) / count
 	return cost, nil
 }
 
@@ -67,7 +67,8 @@
 	return sum
 }
 
-func heapBytes() float64 {
+// HeapBytes returns the memory in use after a garbage collection.
+func HeapBytes() float64 {
 	runtime.GC()
 	var m runtime.MemStats
 	runtime.ReadMemStats(&m)
--- a/cmd/standin/pkg/demo/site.go
+++ b/cmd/standin/pkg/demo/site.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"fmt"
 	"io"
 	"net"
@@ -287,8 +285,3 @@
 	}
 	return false
 }
-
-func hashOf(key string) string {
-	sum := sha256.Sum256([]byte(key))
-	return hex.EncodeToString(sum[:])
-}
--- a/cmd/standin/pkg/demo/tree.go
+++ b/cmd/standin/pkg/demo/tree.go
@@ -3,6 +3,7 @@
 import (
 	"strconv"
 
+	"github.com/azuretiller/azuretiller"
 	"github.com/azuretiller/azuretiller/pkg/operator"
 )
 
@@ -43,7 +44,7 @@
 		set("/services/packs/routes/about", "open", "true"),
 	}
 	for _, team := range teams() {
-		changes = append(changes, set("/teams/"+team+"/keys/"+hashOf(keyOf(team)), "label", `"demo"`))
+		changes = append(changes, set("/teams/"+team+"/keys/"+string(azuretiller.HashKey(keyOf(team))), "label", `"demo"`))
 	}
 	for _, zone := range zones() {
 		changes = append(changes, set("/zones/"+zone, "out", "false"))
--- a/cmd/tillerctl/pkg/app/objects.go
+++ b/cmd/tillerctl/pkg/app/objects.go
@@ -2,7 +2,6 @@
 
 import (
 	"crypto/rand"
-	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
 	"strconv"
@@ -60,7 +59,7 @@
 				return errors.Wrap(err, "make key")
 			}
 			key := hex.EncodeToString(secret)
-			path := args[0] + "/keys/" + hashOf(key)
+			path := args[0] + "/keys/" + string(azuretiller.HashKey(key))
 			if err := t.propose(cmd, 0, []operator.Change{{Kind: "set", Path: path, Field: "label", Value: strconv.Quote(label)}}); err != nil {
 				return err
 			}
@@ -88,7 +87,7 @@
 				return err
 			}
 			for _, b := range current.Branches {
-				if b.Path == keys+args[1] || b.Path == keys+hashOf(args[1]) {
+				if b.Path == keys+args[1] || b.Path == keys+string(azuretiller.HashKey(args[1])) {
 					return t.propose(cmd, current.Revision, []operator.Change{{Kind: "delete", Path: b.Path}})
 				}
 			}
@@ -130,11 +129,6 @@
 	}
 }
 
-func hashOf(key string) string {
-	sum := sha256.Sum256([]byte(key))
-	return hex.EncodeToString(sum[:])
-}
-
 func (t *tool) zoneCommand() *cobra.Command {
 	cmd := &cobra.Command{Use: "zone", Short: "Take availability zones out and bring them back"}
 	for _, c := range []struct{ use, short, value string }{
--- a/ids.go
+++ b/ids.go
@@ -1,5 +1,10 @@
 package azuretiller
 
+import (
+	"crypto/sha256"
+	"encoding/hex"
+)
+
 // Zone names an availability zone, as written in the settings of each VM.
 type Zone string
 
@@ -24,6 +29,12 @@
 // KeyHash is the lower-case hexadecimal SHA-256 of a caller's key.
 type KeyHash string
 
+// HashKey returns the hash of a caller's key.
+func HashKey(key string) KeyHash {
+	sum := sha256.Sum256([]byte(key))
+	return KeyHash(hex.EncodeToString(sum[:]))
+}
+
 // RequestID is the caller's Idempotency-Key, or empty.
 type RequestID string
 
--- a/pkg/bucket/bucket.go
+++ b/pkg/bucket/bucket.go
@@ -141,9 +141,6 @@
 	return b.level
 }
 
-// Outstanding returns the tokens that were handed out and may still be spent.
-func (b *Bucket) Outstanding() azuretiller.Millitokens { return b.outstanding }
-
 // Full reports whether the bucket holds its whole burst, so that forgetting it loses nothing.
 func (b *Bucket) Full(now time.Time) bool {
 	b.refill(now)
--- a/pkg/control/figures_test.go
+++ b/pkg/control/figures_test.go
@@ -2,14 +2,13 @@
 
 import (
 	"fmt"
-	"os"
-	"slices"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/azuretiller/azuretiller"
+	"github.com/azuretiller/azuretiller/pkg/figures"
 )
 
 const (
@@ -17,22 +16,6 @@
 	zonesToday = 4
 )
 
-func figure(name, value, target string) {
-	fmt.Printf("FIGURE | %s | %s | %s | - |\n", name, value, target)
-}
-
-func needFigures(t *testing.T) {
-	t.Helper()
-	if os.Getenv("FIGURES") == "" {
-		t.Skip("set FIGURES=1 to measure")
-	}
-}
-
-func quantile(values []time.Duration, q float64) time.Duration {
-	slices.Sort(values)
-	return values[min(int(float64(len(values))*q), len(values)-1)]
-}
-
 // settled returns a fleet of today's size whose VMs all know each other.
 func settled(seed uint64, count, zones int) *fleet {
 	f := newFleet(seed, count, zones, 0)
@@ -58,7 +41,7 @@
 }
 
 func TestFigureDeadVM(t *testing.T) {
-	needFigures(t)
+	figures.Need(t)
 	var times []time.Duration
 	for seed := range uint64(40) {
 		f := settled(seed, fleetToday, zonesToday)
@@ -70,11 +53,11 @@
 		}
 		times = append(times, f.Now().Sub(start))
 	}
-	figure("dead VM out of the address answers of all of 44 VMs", fmt.Sprintf("p50 %s max %s", quantile(times, 0.5), quantile(times, 1)), "3s")
+	figures.Print("dead VM out of the address answers of all of 44 VMs", fmt.Sprintf("p50 %s max %s", figures.Quantile(times, 0.5), figures.Quantile(times, 1)), "3s", figures.None)
 }
 
 func TestFigureNoFalseDown(t *testing.T) {
-	needFigures(t)
+	figures.Need(t)
 	wrong := 0
 	for seed := range uint64(40) {
 		f := settled(seed, fleetToday, zonesToday)
@@ -92,11 +75,11 @@
 			}
 		}
 	}
-	figure("live VMs held to be down after a one-way cut and a pause of 2 s of an observer", fmt.Sprint(wrong), "0")
+	figures.Print("live VMs held to be down after a one-way cut and a pause of 2 s of an observer", fmt.Sprint(wrong), "0", figures.None)
 }
 
 func TestFigureWithdrawal(t *testing.T) {
-	needFigures(t)
+	figures.Need(t)
 	for _, tc := range []struct {
 		desc   string
 		count  int
@@ -128,14 +111,14 @@
 			}
 			told = append(told, f.Now().Sub(start))
 		}
-		figure("an edit or withdrawal in force everywhere, "+tc.desc, fmt.Sprintf("p50 %s max %s", quantile(force, 0.5), quantile(force, 1)), tc.target)
-		figure("its operator told, "+tc.desc, fmt.Sprintf("p50 %s max %s", quantile(told, 0.5), quantile(told, 1)), "-")
+		figures.Print("an edit or withdrawal in force everywhere, "+tc.desc, fmt.Sprintf("p50 %s max %s", figures.Quantile(force, 0.5), figures.Quantile(force, 1)), tc.target, figures.None)
+		figures.Print("its operator told, "+tc.desc, fmt.Sprintf("p50 %s max %s", figures.Quantile(told, 0.5), figures.Quantile(told, 1)), "-", figures.None)
 	}
 }
 
 // TestFigureOutage measures how long VMs go on with the log out for all, and stop when it is out for them alone.
 func TestFigureOutage(t *testing.T) {
-	needFigures(t)
+	figures.Need(t)
 	stopped := 0
 	f := settled(1, fleetToday, zonesToday)
 	f.log.SetOut(true)
@@ -147,7 +130,7 @@
 			}
 		}
 	}
-	figure("VM seconds refused in 10 min without the log, 44 VMs", fmt.Sprint(stopped), "0")
+	figures.Print("VM seconds refused in 10 min without the log, 44 VMs", fmt.Sprint(stopped), "0", figures.None)
 	var times []time.Duration
 	for seed := range uint64(20) {
 		f := settled(seed, fleetToday, zonesToday)
@@ -162,5 +145,5 @@
 		}
 		times = append(times, f.Now().Sub(start))
 	}
-	figure("a VM that hears nobody refuses work", fmt.Sprintf("p50 %s max %s", quantile(times, 0.5), quantile(times, 1)), "5s")
+	figures.Print("a VM that hears nobody refuses work", fmt.Sprintf("p50 %s max %s", figures.Quantile(times, 0.5), figures.Quantile(times, 1)), "5s", figures.None)
 }
--- a/pkg/entry/handler.go
+++ b/pkg/entry/handler.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -137,8 +135,7 @@
 	if c.key == "" {
 		return azuretiller.CodeNoKey
 	}
-	sum := sha256.Sum256([]byte(c.key))
-	id, ok := c.snapshot.Config.Keys[azuretiller.KeyHash(hex.EncodeToString(sum[:]))]
+	id, ok := c.snapshot.Config.Keys[azuretiller.HashKey(c.key)]
 	if !ok {
 		return azuretiller.CodeUnknownKey
 	}
--- a/pkg/fairqueue/queue.go
+++ b/pkg/fairqueue/queue.go
@@ -32,19 +32,6 @@
 // Len returns the number of waiting items.
 func (q *Queue[F, L, T]) Len() int { return q.length }
 
-// FlowLen returns the number of waiting items of a flow.
-func (q *Queue[F, L, T]) FlowLen(key F) int {
-	f, ok := q.flows[key]
-	if !ok {
-		return 0
-	}
-	n := 0
-	for _, l := range f.lanes {
-		n += len(l.items)
-	}
-	return n
-}
-
 // Push adds an item at the end of a lane of a flow; weights below 1 count as 1.
 func (q *Queue[F, L, T]) Push(key F, weight int, laneKey L, item T) {
 	q.serial++
--- a/pkg/journal/journal.go
+++ b/pkg/journal/journal.go
@@ -1,7 +1,6 @@
 package journal
 
 import (
-	"fmt"
 	"maps"
 	"slices"
 
@@ -275,11 +274,6 @@
 	j.dropped++
 }
 
-// String returns the position of the state for logs.
-func (j *Journal) String() string {
-	return fmt.Sprintf("next=%d revision=%d roster=%d", j.next, j.revision, j.roster)
-}
-
 func paths(changes []azuretiller.Change) []string {
 	var out []string
 	for _, c := range changes {
--- a/pkg/membership/monitor.go
+++ b/pkg/membership/monitor.go
@@ -181,8 +181,3 @@
 func (m *Monitor) Down() []azuretiller.VMID {
 	return slices.Sorted(maps.Keys(m.down))
 }
-
-// Silence returns how long a subject has not been heard, for dumps.
-func (m *Monitor) Silence(id azuretiller.VMID, now time.Time) time.Duration {
-	return now.Sub(m.heard[id])
-}
--- a/pkg/pool/baseline_test.go
+++ b/pkg/pool/baseline_test.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"testing"
 	"time"
+
+	"github.com/azuretiller/azuretiller/pkg/figures"
 )
 
 const (
@@ -41,7 +43,7 @@
 
 // TestFigureBaselines measures counting failures in a row, at one place and at every VM alone.
 func TestFigureBaselines(t *testing.T) {
-	needFigures(t)
+	figures.Need(t)
 	random := rand.New(rand.NewPCG(1, 1))
 	for _, perSecond := range []float64{10, 2} {
 		for _, vms := range []int{1, fleetSize} {
@@ -49,8 +51,8 @@
 			for range 200 {
 				times = append(times, baselineTime(random, perSecond, 0.5, vms))
 			}
-			figure(fmt.Sprintf("baseline: %d failures in a row at %d VMs, half of the work fails, %.0f/s", consecutive, vms, perSecond),
-				fmt.Sprintf("p50 %s p99 %s", percentile(times, 0.5).Round(100*time.Millisecond), percentile(times, 0.99).Round(100*time.Millisecond)), "-", "is one")
+			figures.Print(fmt.Sprintf("baseline: %d failures in a row at %d VMs, half of the work fails, %.0f/s", consecutive, vms, perSecond),
+				fmt.Sprintf("p50 %s p99 %s", figures.Quantile(times, 0.5).Round(100*time.Millisecond), figures.Quantile(times, 0.99).Round(100*time.Millisecond)), "-", "is one")
 		}
 	}
 }
--- a/pkg/pool/figures_test.go
+++ b/pkg/pool/figures_test.go
@@ -2,37 +2,13 @@
 
 import (
 	"fmt"
-	"os"
-	"slices"
 	"testing"
 	"time"
 
 	"github.com/azuretiller/azuretiller"
+	"github.com/azuretiller/azuretiller/pkg/figures"
 )
 
-// figuresVariable is the environment variable that asks for the measurements.
-const figuresVariable = "FIGURES"
-
-func needFigures(t *testing.T) {
-	t.Helper()
-	if os.Getenv(figuresVariable) == "" {
-		t.Skip("set FIGURES=1 to measure")
-	}
-}
-
-// figure prints one measured value beside its target and its baseline.
-func figure(name, value, target, baseline string) {
-	fmt.Printf("FIGURE | %s | %s | %s | %s |\n", name, value, target, baseline)
-}
-
-func percentile(values []time.Duration, p float64) time.Duration {
-	slices.Sort(values)
-	if len(values) == 0 {
-		return 0
-	}
-	return values[min(int(float64(len(values))*p), len(values)-1)]
-}
-
 // detectionTimes measures how long a server with a fault stays in service.
 func detectionTimes(seeds int, servers int, perServer float64, once float64, fault func(*fakeServer)) (times []time.Duration, missed int) {
 	const horizon = 30 * time.Second
@@ -55,7 +31,7 @@
 }
 
 func TestFigureDetection(t *testing.T) {
-	needFigures(t)
+	figures.Need(t)
 	tests := []struct {
 		desc      string
 		servers   int
@@ -74,14 +50,14 @@
 	}
 	for _, tc := range tests {
 		times, missed := detectionTimes(1000, tc.servers, tc.perServer, 0.2, tc.fault)
-		figure("ejected: "+tc.desc,
-			fmt.Sprintf("p50 %s p99 %s, missed %d of %d", percentile(times, 0.5).Round(time.Millisecond), percentile(times, 0.99).Round(time.Millisecond), missed, len(times)),
+		figures.Print("ejected: "+tc.desc,
+			fmt.Sprintf("p50 %s p99 %s, missed %d of %d", figures.Quantile(times, 0.5).Round(time.Millisecond), figures.Quantile(times, 0.99).Round(time.Millisecond), missed, len(times)),
 			tc.target, "-")
 	}
 }
 
 func TestFigureFalseEjections(t *testing.T) {
-	needFigures(t)
+	figures.Need(t)
 	const requests = 10_000_000
 	sent, ejections := 0, 0
 	for seed := uint64(0); sent < requests; seed++ {
@@ -99,13 +75,13 @@
 		sent += s.sent
 		ejections += s.ejections
 	}
-	figure("false ejections, heavy tail, 0.5% errors, one bad team", fmt.Sprintf("%d in %d requests", ejections, sent), "0", "-")
+	figures.Print("false ejections, heavy tail, 0.5% errors, one bad team", fmt.Sprintf("%d in %d requests", ejections, sent), "0", "-")
 }
 
 // TestFigureColdStart starts a whole service cold at full demand and compares with the ideal ramp, in which every
 // server always runs exactly what it bears.
 func TestFigureColdStart(t *testing.T) {
-	needFigures(t)
+	figures.Need(t)
 	const demand = 250.0
 	for _, tc := range []struct {
 		desc    string
@@ -137,9 +113,9 @@
 			}
 			total += s.sent
 		}
-		figure("cold start, "+tc.desc+": time to 95% of full rate by the ideal ramp",
-			fmt.Sprintf("p50 %.2f max %.2f", percentile(ratios, 0.5).Seconds(), percentile(ratios, 1).Seconds()), "1.5", "-")
-		figure("cold start, "+tc.desc+": requests beyond what a server bears", fmt.Sprintf("%d of %d", overload, total), "0", "-")
+		figures.Print("cold start, "+tc.desc+": time to 95% of full rate by the ideal ramp",
+			fmt.Sprintf("p50 %.2f max %.2f", figures.Quantile(ratios, 0.5).Seconds(), figures.Quantile(ratios, 1).Seconds()), "1.5", "-")
+		figures.Print("cold start, "+tc.desc+": requests beyond what a server bears", fmt.Sprintf("%d of %d", overload, total), "0", "-")
 	}
 }
 
@@ -160,7 +136,7 @@
 
 // TestFigureFairness measures the worst-served against the best-served team within its fair share.
 func TestFigureFairness(t *testing.T) {
-	needFigures(t)
+	figures.Need(t)
 	for _, tc := range []struct {
 		desc string
 		lost int
@@ -208,13 +184,13 @@
 			}
 			worst = min(worst, low/high)
 		}
-		figure("fairness, "+tc.desc+": worst by best of the teams within their share", fmt.Sprintf("%.4f", worst), "0.99", "-")
+		figures.Print("fairness, "+tc.desc+": worst by best of the teams within their share", fmt.Sprintf("%.4f", worst), "0.99", "-")
 	}
 }
 
 // TestFigureHeavy measures how long short lookups wait while downloads of a second want all slots.
 func TestFigureHeavy(t *testing.T) {
-	needFigures(t)
+	figures.Need(t)
 	var waits []time.Duration
 	for seed := range uint64(10) {
 		s := newSim(seed, 3)
@@ -234,12 +210,12 @@
 		})
 		s.Run(70 * time.Second)
 	}
-	figure("short lookups of 10 ms beside downloads for all slots", fmt.Sprintf("p50 %s p99 %s", percentile(waits, 0.5).Round(time.Millisecond), percentile(waits, 0.99).Round(time.Millisecond)), "-", "-")
+	figures.Print("short lookups of 10 ms beside downloads for all slots", fmt.Sprintf("p50 %s p99 %s", figures.Quantile(waits, 0.5).Round(time.Millisecond), figures.Quantile(waits, 0.99).Round(time.Millisecond)), "-", "-")
 }
 
 // TestFigureRetries measures the load that retries add when half of the servers fail half of their work.
 func TestFigureRetries(t *testing.T) {
-	needFigures(t)
+	figures.Need(t)
 	for _, fail := range []float64{0.5, 1} {
 		offered, sent, good := 0, 0, 0
 		for seed := range uint64(10) {
@@ -257,13 +233,13 @@
 			s.Run(50 * time.Second)
 			sent += s.sent
 		}
-		figure(fmt.Sprintf("retries while half of the servers fail %.0f%%: load", 100*fail), fmt.Sprintf("%.3f of the requests, %.4f of them answered well", float64(sent)/float64(offered), float64(good)/float64(offered)), "1.10", "-")
+		figures.Print(fmt.Sprintf("retries while half of the servers fail %.0f%%: load", 100*fail), fmt.Sprintf("%.3f of the requests, %.4f of them answered well", float64(sent)/float64(offered), float64(good)/float64(offered)), "1.10", "-")
 	}
 }
 
 // TestFigureFlapping measures the failures that each turn of a flapping server costs.
 func TestFigureFlapping(t *testing.T) {
-	needFigures(t)
+	figures.Need(t)
 	perTurn := make([]int, 4)
 	for seed := range uint64(20) {
 		s := newSim(seed, 3)
@@ -280,5 +256,5 @@
 			s.Run(10 * time.Second)
 		}
 	}
-	figure("flapping server: requests that it gets in each bad turn of 10 s", fmt.Sprintf("%.1f %.1f %.1f %.1f", float64(perTurn[0])/20, float64(perTurn[1])/20, float64(perTurn[2])/20, float64(perTurn[3])/20), "falling", "-")
+	figures.Print("flapping server: requests that it gets in each bad turn of 10 s", fmt.Sprintf("%.1f %.1f %.1f %.1f", float64(perTurn[0])/20, float64(perTurn[1])/20, float64(perTurn[2])/20, float64(perTurn[3])/20), "falling", "-")
 }
--- a/pkg/ratelimit/figures_test.go
+++ b/pkg/ratelimit/figures_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -14,6 +13,7 @@
 
 	"github.com/azuretiller/azuretiller"
 	"github.com/azuretiller/azuretiller/pkg/config"
+	"github.com/azuretiller/azuretiller/pkg/figures"
 	"github.com/azuretiller/azuretiller/pkg/ratehome"
 	"github.com/azuretiller/azuretiller/pkg/ratelimit"
 	"github.com/azuretiller/azuretiller/pkg/snapshot"
@@ -198,9 +198,7 @@
 
 // TestFigureWrongRefusals measures requests that were refused although one bucket for the whole fleet would have let them pass.
 func TestFigureWrongRefusals(t *testing.T) {
-	if os.Getenv("FIGURES") == "" {
-		t.Skip("set FIGURES=1 to measure")
-	}
+	figures.Need(t)
 	for _, tc := range []struct {
 		desc   string
 		seeds  uint64
@@ -219,6 +217,6 @@
 		for seed := range tc.seeds {
 			sum.add(drive(t, seed, tc.span, tc.load, tc.kill, tc.fixed))
 		}
-		fmt.Printf("FIGURE | refused within the rate: %s | %d of %d, slowest %s, exceeded %d, by team %v | %s | - |\n", tc.desc, sum.wrong, sum.asked, sum.slowest.Round(time.Millisecond), sum.exceeded, sum.teams, tc.target)
+		figures.Print("refused within the rate: "+tc.desc, fmt.Sprintf("%d of %d, slowest %s, exceeded %d, by team %v", sum.wrong, sum.asked, sum.slowest.Round(time.Millisecond), sum.exceeded, sum.teams), tc.target, figures.None)
 	}
 }
--- a/pkg/ratelimit/limiter.go
+++ b/pkg/ratelimit/limiter.go
@@ -316,10 +316,3 @@
 	}
 	return a
 }
-
-// Len returns the number of teams with tokens or demand here.
-func (l *Limiter) Len() int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return len(l.teams)
-}
