Set the largest head of a request, and log requests at info

Cause: the limit on heads was fixed in the code, the line for each request was only written at debug, and malformed input had no test.

Change: setting headers (4 KiB to 1 MiB, 64 KiB by default), its errors name file, line and field; the line is at info, and warn leaves it out.

Still missing: these are refused by net/http with a status and without a numbered code.

--- a/cmd/standin/pkg/demo/path_test.go
+++ b/cmd/standin/pkg/demo/path_test.go
@@ -144,6 +144,7 @@
 		{"a deadline ends a request", testDeadline},
 		{"a caller that goes away ends its request", testCancel},
 		{"a body that is too large is refused", testTooLarge},
+		{"malformed requests are refused", testMalformed},
 		{"a shed request is tried elsewhere", testShed},
 		{"operators need their token", testOperatorToken},
 		{"a request that crashes servers is held back", testPoison},
--- a/pkg/entry/handler.go
+++ b/pkg/entry/handler.go
@@ -163,5 +163,5 @@
 	scope := h.common.Metrics.Tagged(map[string]string{"code": strconv.Itoa(int(c.code))})
 	scope.Counter("requests").Inc(1)
 	scope.Timer("request_time").Record(took)
-	h.common.Log.WithFields(logFields(c, took)).Debug("request")
+	h.common.Log.WithFields(logFields(c, took)).Info("request")
 }
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -41,7 +41,6 @@
 	inboxSize     = 1024
 	headerTimeout = 10 * time.Second
 	idleTimeout   = 2 * time.Minute
-	maxHeader     = 64 << 10
 	// drainPoll is the time between two looks at the requests that are still running.
 	drainPoll = 20 * time.Millisecond
 )
@@ -157,7 +156,7 @@
 		Handler:           handler,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeader,
+		MaxHeaderBytes:    n.settings.Headers,
 		ErrorLog:          nil,
 	}
 }
--- a/pkg/settings/load.go
+++ b/pkg/settings/load.go
@@ -18,6 +18,9 @@
 const (
 	minSecret = 16
 	maxDrain  = 10 * time.Minute
+	// minHeaders and maxHeaders bound the head of a request, in bytes.
+	minHeaders = 4 << 10
+	maxHeaders = 1 << 20
 )
 
 // loader collects all problems of a file rather than stopping at the first.
@@ -86,6 +89,7 @@
 		"token":    {true, l.secretFile(func(v []byte) { s.Token = string(v) })},
 		"seeds":    {false, l.addresses(func(v []string) { s.Seeds = v })},
 		"drain":    {false, l.span(func(v time.Duration) { s.Drain = v })},
+		"headers":  {false, l.bytes(func(v int) { s.Headers = v })},
 		"platform": {true, func(field string, v hujson.Value) {
 			l.object(field, v, map[string]reader{
 				"url":   {true, l.url(func(v string) { s.Platform.URL = v })},
@@ -195,6 +199,18 @@
 	}
 }
 
+func (l *loader) bytes(set func(int)) func(string, hujson.Value) {
+	return func(field string, v hujson.Value) {
+		literal, _ := v.Value.(hujson.Literal)
+		n, err := strconv.Atoi(string(literal))
+		if err != nil || n < minHeaders || n > maxHeaders {
+			l.add(l.line(v), field, "must be a number of bytes from "+strconv.Itoa(minHeaders)+" to "+strconv.Itoa(maxHeaders))
+			return
+		}
+		set(n)
+	}
+}
+
 func (l *loader) url(set func(string)) func(string, hujson.Value) {
 	return func(field string, v hujson.Value) {
 		l.text(func(text string) {
--- a/pkg/settings/load_test.go
+++ b/pkg/settings/load_test.go
@@ -22,6 +22,7 @@
   "secret": "secret",
   "token": "secret",
   "platform": {"url": "http://127.0.0.1:9000", "token": "secret"},
+  "headers": 8192,
   "drain": "3s", // shorter than usual
 }`
 
@@ -45,6 +46,7 @@
 	s, problems := load(t, valid)
 	require.Empty(t, problems)
 	require.Equal(t, 3*time.Second, s.Drain)
+	require.Equal(t, 8192, s.Headers)
 	require.Equal(t, "0123456789abcdef", s.Token)
 	require.Equal(t, "info", s.Log.Level)
 }
@@ -62,7 +64,9 @@
 		{"bad port", `127.0.0.1:7200`, `127.0.0.1:99999`, `:6: peer: must have a port from 1 to 65535, not "99999"`},
 		{"nested field", `"url"`, `"uri"`, ":10: platform.uri: unknown field"},
 		{"short secret", `"token": "secret",`, `"token": "short",`, ":9: token: the file must hold at least 16 bytes"},
-		{"impossible duration", `"3s"`, `"-3s"`, ":11: drain: must be a duration from 0s to 10m0s"},
+		{"impossible duration", `"3s"`, `"-3s"`, ":12: drain: must be a duration from 0s to 10m0s"},
+		{"head too small", `8192`, `100`, ":11: headers: must be a number of bytes from 4096 to 1048576"},
+		{"head of another type", `8192`, `"8192"`, ":11: headers: must be a number of bytes from 4096 to 1048576"},
 		{"no JSON", `"vm": "a1",`, `"vm" "a1",`, ":3: file: "},
 	}
 	for _, tc := range tests {
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -20,6 +20,8 @@
 	Control control.Params
 	// Drain is how long a VM goes on serving after it left the address answers.
 	Drain time.Duration
+	// Headers is the largest head of a request, in bytes.
+	Headers int
 }
 
 // Platform says where the platform's log and VM list are.
@@ -39,5 +41,6 @@
 		Log:     Log{Level: "info"},
 		Control: control.DefaultParams(),
 		Drain:   12 * time.Second,
+		Headers: 64 << 10,
 	}
 }
