Forget what teams owe when nobody waits

Cause: a team that was served stayed in the queue's table until it was served again, and each request looked at all of them.

Change: a request that finds the queue empty starts with an empty table.

--- a/Makefile
+++ b/Makefile
@@ -46,4 +46,4 @@
 SEED ?= 1
 CHECKS ?= 2000
 soak:
-	SOAK_SEED=$(SEED) SOAK_CHECKS=$(CHECKS) go test -count=1 -timeout 3h ./pkg/bucket ./pkg/ratehome ./pkg/pool ./pkg/control
+	SOAK_SEED=$(SEED) SOAK_CHECKS=$(CHECKS) go test -count=1 -timeout 3h ./pkg/bucket ./pkg/fairqueue ./pkg/ratehome ./pkg/pool ./pkg/control
--- a/pkg/fairqueue/queue.go
+++ b/pkg/fairqueue/queue.go
@@ -35,6 +35,10 @@
 // Push adds an item at the end of a lane of a flow; weights below 1 count as 1.
 func (q *Queue[F, L, T]) Push(key F, weight int, laneKey L, item T) {
 	q.serial++
+	if q.length == 0 {
+		// Nobody waits, so nobody is owed anything; otherwise each flow that was ever served would be kept and looked at.
+		clear(q.flows)
+	}
 	f := q.flows[key]
 	if f == nil {
 		f = &flow[L, T]{start: q.virtual, lanes: map[L]*lane[T]{}, serial: q.serial}
