Do not revive a pool that was handed on by a late answer

Cause: when the former home answered that it knows nothing of a pool, the hold was ended with Await, which also takes back that the pool moved. A pool that had been handed to a third VM while that answer was under way would have started requests again, beside its new home. Found by reading.

Change: knowing nothing is taken over like any other knowledge, which ends the hold and no more.

--- a/pkg/poolhome/handover.go
+++ b/pkg/poolhome/handover.go
@@ -127,10 +127,7 @@
 	now := h.common.Clock.Now()
 	switch {
 	case answer.State == Unknowing:
-		if !*taken {
-			r.pool.Await(now)
-		}
-		h.act(r, id, r.pool.Release(now, pool.Knowledge{}))
+		h.act(r, id, r.pool.TakeOver(now, pool.Knowledge{}))
 		return true
 	case answer.State != Stopped:
 		return !r.home
