Run a VM on the users' platform: adapter, elected leader with tickets, entry VMs that send

First whole path over the platform: platform/ speaks its formats, pkg/member and pkg/leader choose and run the one VM that decides, pkg/desk places work by what the whole fleet saw, pkg/gateway serves callers.

--- a/cmd/azuretiller/pkg/app/app.go
+++ b/cmd/azuretiller/pkg/app/app.go
@@ -50,7 +50,7 @@
 	}
 	root.SetOut(out)
 	root.SetErr(errOut)
-	root.AddCommand(serveCommand(errOut), checkCommand(errOut))
+	root.AddCommand(serveCommand(errOut), checkCommand(errOut), edgeCommand(out))
 	return root
 }
 
--- /dev/null
+++ b/cmd/azuretiller/pkg/app/edge.go
@@ -0,0 +1,146 @@
+package app
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/azuretiller/azuretiller/pkg/asyncwriter"
+	"github.com/azuretiller/azuretiller/pkg/common"
+	"github.com/azuretiller/azuretiller/pkg/edge"
+	"github.com/azuretiller/azuretiller/pkg/logging"
+	"github.com/azuretiller/azuretiller/pkg/metrics"
+	"github.com/azuretiller/azuretiller/pkg/systemclock"
+	"github.com/azuretiller/azuretiller/platform"
+)
+
+const (
+	// metricsGap is the time between updates of the metrics, which are fetched every 5 s.
+	metricsGap = 2 * time.Second
+	// settingsGap is the time between looks at the settings file, which may change without a signal.
+	settingsGap = 2 * time.Second
+)
+
+func edgeCommand(out io.Writer) *cobra.Command {
+	var level string
+	var metricsPort int
+	cmd := &cobra.Command{
+		Use:   "edge",
+		Short: "Run one VM of the fleet on the users' platform, with the settings file named in " + platform.SettingsVariable,
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			ctx, stop := signal.NotifyContext(cmd.Context(), syscall.SIGTERM, syscall.SIGINT)
+			defer stop()
+			return runEdge(ctx, os.Getenv(platform.SettingsVariable), level, metricsPort, out)
+		},
+	}
+	cmd.Flags().StringVar(&level, "log", "info", "level of the log")
+	cmd.Flags().IntVar(&metricsPort, "metrics-port", 0, "port of the metrics at /metrics; 0 serves none")
+	return cmd
+}
+
+func runEdge(ctx context.Context, file, level string, metricsPort int, out io.Writer) error {
+	s, err := platform.LoadSettings(file)
+	if err != nil {
+		return err
+	}
+	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	writer := asyncwriter.New(out)
+	written := make(chan struct{})
+	go func() {
+		writer.Run(background)
+		close(written)
+	}()
+	defer func() {
+		cancel()
+		<-written
+	}()
+	logger, err := logging.New(writer, level)
+	if err != nil {
+		return err
+	}
+	m := metrics.New(metricsGap)
+	defer func() { _ = m.Close() }()
+	if metricsPort > 0 {
+		host, _, err := net.SplitHostPort(s.Callers)
+		if err != nil {
+			return errors.Wrap(err, "parse the address for callers")
+		}
+		if err := serveMetrics(background, net.JoinHostPort(host, strconv.Itoa(metricsPort)), m); err != nil {
+			return err
+		}
+	}
+	c := &common.Common{Log: logger, Clock: systemclock.New(), Metrics: m.Scope}
+	store := platform.NewStore(s.Store, func(call string, failed bool) {
+		m.Scope.Tagged(map[string]string{"call": call, "failed": strconv.FormatBool(failed)}).Counter("store_calls").Inc(1)
+	})
+	logger.WithField("vm", s.VM).WithField("zone", s.Zone).WithField("callers", s.Callers).Info("starting")
+	err = edge.New(c, s, platform.NewRegistry(store)).Run(ctx, watchSettings(background, c, file))
+	logger.WithField("vm", s.VM).Info("stopped")
+	return err
+}
+
+func serveMetrics(ctx context.Context, address string, m *metrics.Metrics) error {
+	var config net.ListenConfig
+	l, err := config.Listen(ctx, "tcp", address)
+	if err != nil {
+		return errors.Wrap(err, "listen for metrics")
+	}
+	mux := http.NewServeMux()
+	mux.Handle("/metrics", m.Handler)
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
+	context.AfterFunc(ctx, func() { _ = server.Close() })
+	go func() { _ = server.Serve(l) }()
+	return nil
+}
+
+// watchSettings tells of each SIGHUP and of each change of the settings file that can be read.
+func watchSettings(ctx context.Context, c *common.Common, file string) <-chan struct{} {
+	reload := make(chan struct{}, 1)
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	go func() {
+		ticker := time.NewTicker(settingsGap)
+		defer ticker.Stop()
+		changed := modified(file)
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-hangups:
+			case <-ticker.C:
+				now := modified(file)
+				if now.Equal(changed) {
+					continue
+				}
+				changed = now
+			}
+			if _, err := platform.LoadSettings(file); err != nil {
+				c.Log.WithError(err).Warn("settings not reloaded")
+				continue
+			}
+			select {
+			case reload <- struct{}{}:
+			default:
+			}
+		}
+	}()
+	return reload
+}
+
+func modified(file string) time.Time {
+	info, err := os.Stat(file)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
+}
--- /dev/null
+++ b/pkg/config/assemble.go
@@ -0,0 +1,84 @@
+package config
+
+import (
+	"time"
+
+	"github.com/azuretiller/azuretiller"
+)
+
+// Parts are the objects of a configuration that was checked elsewhere.
+type Parts struct {
+	Version  string
+	Revision uint64
+	Routes   []Route
+	Services []Service
+	Teams    []KeyedTeam
+	Limits   Limits
+}
+
+// KeyedTeam is a team with its keys in clear text.
+type KeyedTeam struct {
+	Team Team
+	Keys []string
+}
+
+// Limits bound what a caller may send and how long it may take.
+type Limits struct {
+	// Header and Body are in bytes.
+	Header        int
+	Body          int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Backend is one of the services that share the requests of a route in proportion to their weights.
+type Backend struct {
+	Service azuretiller.ServiceID
+	Weight  int
+}
+
+// Assemble builds a configuration for use.
+func Assemble(p Parts) *Config {
+	c := &Config{
+		Version:  p.Version,
+		Revision: p.Revision,
+		Limits:   p.Limits,
+		Teams:    map[azuretiller.TeamID]Team{},
+		Keys:     map[azuretiller.KeyHash]azuretiller.TeamID{},
+		Services: map[azuretiller.ServiceID]Service{},
+		Zones:    map[azuretiller.Zone]Zone{},
+		routes:   map[string][]Route{},
+		hosts:    map[string]map[string]Route{},
+	}
+	for _, r := range p.Routes {
+		if c.hosts[r.Host] == nil {
+			c.hosts[r.Host] = map[string]Route{}
+		}
+		c.hosts[r.Host][r.Prefix] = r
+	}
+	for _, s := range p.Services {
+		c.Services[s.ID] = s
+	}
+	for _, t := range p.Teams {
+		c.Teams[t.Team.ID] = t.Team
+		for _, key := range t.Keys {
+			c.Keys[azuretiller.HashKey(key)] = t.Team.ID
+		}
+	}
+	return c
+}
+
+// MatchHost returns the route of a host with the longest prefix of a path.
+func (c *Config) MatchHost(host, path string) (Route, bool) {
+	routes := c.hosts[host]
+	for p := path; len(routes) > 0; {
+		if r, ok := routes[p]; ok {
+			return r, true
+		}
+		if p == "/" || p == "" {
+			break
+		}
+		p = shorter(p)
+	}
+	return Route{}, false
+}
--- a/pkg/config/config.go
+++ b/pkg/config/config.go
@@ -9,12 +9,19 @@
 
 // Config is the settings tree compiled for use; it is not changed after it is built.
 type Config struct {
+	// Version is the operators' name of the configuration, if it has one.
+	Version string
+	// Revision orders configurations; a larger one is newer.
+	Revision uint64
+	Limits   Limits
 	Teams    map[azuretiller.TeamID]Team
 	Keys     map[azuretiller.KeyHash]azuretiller.TeamID
 	Services map[azuretiller.ServiceID]Service
 	Zones    map[azuretiller.Zone]Zone
 	// routes maps each prefix to its routes; several share one when they serve different methods.
 	routes map[string][]Route
+	// hosts maps each host name to its routes by prefix.
+	hosts map[string]map[string]Route
 }
 
 // Team is a customer with its rate.
@@ -25,6 +32,9 @@
 	Burst  azuretiller.Millitokens
 	Weight int
 	Allow  []string
+	// Priority, if Ranked is set, goes before that of the route; 0 is the highest.
+	Priority int
+	Ranked   bool
 }
 
 // Zone is an availability zone.
@@ -34,14 +44,16 @@
 
 // Service is a group of backend servers with the rules for them.
 type Service struct {
-	ID      azuretiller.ServiceID
-	Slots   int
-	Queue   int
-	Floor   float64
-	Budget  float64
-	Warmup  time.Duration
-	Probe   string
-	Servers []Server
+	ID     azuretiller.ServiceID
+	Slots  int
+	Queue  int
+	Floor  float64
+	Budget float64
+	Warmup time.Duration
+	Probe  string
+	// ColdRate is the requests a second that a cold server bears; 0 means that it is not known.
+	ColdRate float64
+	Servers  []Server
 }
 
 // Server is one backend server.
@@ -62,6 +74,16 @@
 	Timeout    time.Duration
 	Retries    int
 	Body       int64
+	// Host, if set, is the only host name that the route serves.
+	Host string
+	// Backends, if any, share the requests by weight in place of Service.
+	Backends []Backend
+	// Objective is the time within which an answer is worth most to its caller.
+	Objective time.Duration
+	// Priority ranks the route's requests; 0 is the highest.
+	Priority int
+	// Attempts is the number of backend servers that one request may be sent to.
+	Attempts int
 }
 
 // Match returns the route with the longest prefix that serves a path and method.
--- /dev/null
+++ b/pkg/desk/choose.go
@@ -0,0 +1,74 @@
+package desk
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// choose returns the server for a request, or nil if it should wait.
+//
+// The load it answers: at any time a part of the servers is gray. Work goes to the servers that answered last, since
+// what is known of the others has faded; a request that may run only once waits a little rather than go to a doubtful one.
+func (d *Desk) choose(now time.Time, w *waiter) *server {
+	spread := d.spread(now)
+	var best *server
+	bestScore := math.Inf(-1)
+	betterBusy := false
+	for _, s := range d.servers {
+		if slices.Contains(w.Tried, s.ID) || !s.reachableFrom(w.Key.From, now) {
+			continue
+		}
+		if s.room(now) <= 0 {
+			betterBusy = betterBusy || !s.Closed && !s.moved && s.belief.Success(now) > trusted
+			continue
+		}
+		if score := d.score(now, s, w, spread); score > bestScore {
+			best, bestScore = s, score
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	if betterBusy && !w.Idempotent && now.Before(w.better) && best.belief.Success(now) < doubtful {
+		return nil
+	}
+	return best
+}
+
+func (d *Desk) score(now time.Time, s *server, w *waiter, spread bool) float64 {
+	success := s.belief.Success(now)
+	score := success - crowding*float64(s.busy)*(1-success)
+	score -= loadPenalty * float64(s.busy) / float64(max(s.Slots, 1))
+	if s.Zone != w.Zone {
+		score -= d.params.Crossing
+	}
+	if now.Before(s.ColdUntil) {
+		score -= coldPenalty
+	}
+	if s.lastStart.IsZero() {
+		score += newcomerBonus
+	}
+	if spread && now.Sub(s.lastStart) > coverageWindow {
+		score += spreadBonus
+	}
+	return score
+}
+
+// spread reports whether too few servers get work while many requests are not served, so that wrong beliefs might be the reason.
+func (d *Desk) spread(now time.Time) bool {
+	if d.recent.lost(now) < lostShare {
+		return false
+	}
+	open, used := 0, 0
+	for _, s := range d.servers {
+		if s.Closed || s.moved {
+			continue
+		}
+		open++
+		if now.Sub(s.lastStart) <= coverageWindow {
+			used++
+		}
+	}
+	return float64(used) < leastCoverage*float64(open)
+}
--- /dev/null
+++ b/pkg/desk/params.go
@@ -0,0 +1,69 @@
+package desk
+
+import "time"
+
+// Params are the tolerances of the deployment and the limits of waiting.
+type Params struct {
+	// RetryRatio is the number of repeats that each request pays for.
+	RetryRatio float64
+	// RetrySlack is the number of repeats that the deployment tolerates beyond the ratio.
+	RetrySlack float64
+	// Crossing is what sending a request to another zone costs, as a share of the request's worth.
+	Crossing float64
+}
+
+const (
+	// retryShare keeps the repeats below what the deployment tolerates, as requests of one window are counted in the next.
+	retryShare = 0.9
+	// retryReserve is the share of the slack that may be saved up, and retryStart the share that a new leader begins with,
+	// since the one before may have spent the rest within the same window.
+	retryReserve = 0.6
+	retryStart   = 0.25
+
+	// waitShare is the share of the time to the objective that a request may wait for a slot.
+	waitShare = 0.5
+	// deadlineShare is the same for the caller's deadline.
+	deadlineShare = 0.3
+	// betterWait is how long a request that may run only once waits for a server that is likely to answer.
+	betterWait = 250 * time.Millisecond
+	// doubtful is the chance of success below which waiting for another server is worth while, and trusted the chance of one to wait for.
+	doubtful = 0.5
+	trusted  = 0.8
+
+	// firstTypical is the service time in use until the first answer.
+	firstTypical = 200 * time.Millisecond
+	// typicalWeight is the weight of the newest answer in the average service time.
+	typicalWeight = 0.05
+	// overdueFactor is the multiple of the usual service time after which an attempt speaks against its server.
+	overdueFactor = 3
+	leastOverdue  = 300 * time.Millisecond
+	// overdueEvidence is the weight of an overdue attempt, since some requests are long.
+	overdueEvidence = 0.5
+	// pathEvidence is the weight of a failed connection, which may be the fault of the path.
+	pathEvidence = 0.35
+	// pathBlock is how long a VM is not sent to a server that it could not reach.
+	pathBlock = 3 * time.Second
+	// ticketSlack is the time beyond its deadline after which a ticket without a report counts as lost.
+	ticketSlack = 500 * time.Millisecond
+
+	// coldWindow is the span in which the requests to a cold server are counted; it is longer than a second, as they travel.
+	coldWindow = 1100 * time.Millisecond
+	// coldPenalty keeps work from cold servers while warm ones have room.
+	coldPenalty = 0.1
+
+	// loadPenalty prefers idle servers among equals.
+	loadPenalty = 0.04
+	// crowding is the weight of the requests that already run on a server that may fail.
+	crowding = 0.5
+	// newcomerBonus brings a first request to a server that never had one.
+	newcomerBonus = 0.3
+
+	// coverageWindow is the span in which outcomes and servers in use are looked at.
+	coverageWindow = 1600 * time.Millisecond
+	// lostShare is the share of requests that are not served from which work is spread over most servers.
+	lostShare = 0.06
+	// leastCoverage is the share of the servers that get work then.
+	leastCoverage = 0.85
+	// spreadBonus is what a server that had no work for long is preferred by then.
+	spreadBonus = 0.6
+)
--- /dev/null
+++ b/pkg/desk/recent.go
@@ -0,0 +1,41 @@
+package desk
+
+import "time"
+
+// recent counts the outcomes within the last coverageWindow.
+type recent struct {
+	outcomes []outcome
+}
+
+type outcome struct {
+	at     time.Time
+	served bool
+}
+
+func (r *recent) add(now time.Time, served bool) {
+	r.outcomes = append(r.outcomes, outcome{at: now, served: served})
+	r.forget(now)
+}
+
+func (r *recent) forget(now time.Time) {
+	n := 0
+	for n < len(r.outcomes) && now.Sub(r.outcomes[n].at) > coverageWindow {
+		n++
+	}
+	r.outcomes = r.outcomes[n:]
+}
+
+// lost returns the share of requests that were not served.
+func (r *recent) lost(now time.Time) float64 {
+	r.forget(now)
+	if len(r.outcomes) == 0 {
+		return 0
+	}
+	lost := 0
+	for _, o := range r.outcomes {
+		if !o.served {
+			lost++
+		}
+	}
+	return float64(lost) / float64(len(r.outcomes))
+}
--- /dev/null
+++ b/pkg/desk/server.go
@@ -0,0 +1,74 @@
+package desk
+
+import (
+	"time"
+
+	"github.com/azuretiller/azuretiller"
+	"github.com/azuretiller/azuretiller/pkg/belief"
+)
+
+// Server is a backend server as the fleet's view has it.
+type Server struct {
+	ID      azuretiller.InstanceID
+	Address string
+	Zone    azuretiller.Zone
+	Slots   int
+	// Closed servers take no new work: they drain or their zone is out.
+	Closed bool
+	// ColdUntil is when the server stops being cold, and ColdRate the requests a second it bears until then.
+	ColdUntil time.Time
+	ColdRate  float64
+	// Born tells the server's starts apart.
+	Born int64
+}
+
+type server struct {
+	Server
+	belief *belief.Belief
+	busy   int
+	// lastStart is the time of the newest start, zero before the first one.
+	lastStart time.Time
+	// coldStarts are the times of the starts within the last coldWindow.
+	coldStarts []time.Time
+	// blocked maps the VMs that could not connect to the time until which they are not sent here.
+	blocked map[string]time.Time
+	// moved means that another server was found at the address.
+	moved bool
+}
+
+// room returns how many more requests the server may be sent now.
+func (s *server) room(now time.Time) int {
+	if s.Closed || s.moved {
+		return 0
+	}
+	room := s.Slots - s.busy
+	if now.Before(s.ColdUntil) && s.ColdRate > 0 {
+		s.forgetStarts(now)
+		room = min(room, int(s.ColdRate)-len(s.coldStarts))
+	}
+	return room
+}
+
+func (s *server) forgetStarts(now time.Time) {
+	n := 0
+	for n < len(s.coldStarts) && now.Sub(s.coldStarts[n]) >= coldWindow {
+		n++
+	}
+	s.coldStarts = s.coldStarts[n:]
+}
+
+func (s *server) start(now time.Time) {
+	s.busy++
+	s.lastStart = now
+	s.forgetStarts(now)
+	s.coldStarts = append(s.coldStarts, now)
+}
+
+func (s *server) reachableFrom(vm string, now time.Time) bool {
+	until, ok := s.blocked[vm]
+	if ok && !now.Before(until) {
+		delete(s.blocked, vm)
+		return true
+	}
+	return !ok
+}
--- /dev/null
+++ b/pkg/edge/control.go
@@ -0,0 +1,288 @@
+package edge
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/azuretiller/azuretiller"
+	"github.com/azuretiller/azuretiller/pkg/desk"
+	"github.com/azuretiller/azuretiller/pkg/gateway"
+	"github.com/azuretiller/azuretiller/pkg/leader"
+	"github.com/azuretiller/azuretiller/pkg/link"
+	"github.com/azuretiller/azuretiller/pkg/member"
+	"github.com/azuretiller/azuretiller/pkg/message"
+)
+
+// crossing is what sending a request to another zone costs, as a share of its worth.
+const crossing = 0.05
+
+// leaderRead and claimed are the results of calls to the store about the lead.
+type leaderRead struct {
+	record azuretiller.LeaderRecord
+	next   azuretiller.Offset
+	err    error
+}
+
+type claimed struct {
+	term azuretiller.Term
+	err  error
+}
+
+// control is the one goroutine that owns the control state.
+func (e *Edge) control(ctx context.Context, reload <-chan struct{}) {
+	ticks := e.timer.Subscribe(tickGap)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-reload:
+			e.note("reload", map[string]any{"vm": e.self.ID})
+		case <-ticks:
+			e.tick(ctx, e.common.Clock.Now())
+		case event := <-e.inbox:
+			e.handle(ctx, e.common.Clock.Now(), event)
+		}
+	}
+}
+
+func (e *Edge) tick(ctx context.Context, now time.Time) {
+	e.member.SetReady(e.State().Ready(), e.revision())
+	e.runMember(ctx, e.member.Tick(now))
+	if e.leader != nil {
+		e.refreshLeader(now)
+		e.runLeader(e.leader.Tick(now))
+		e.leader.SetResigned(e.leaving || !e.feed.failing.IsZero() && now.Sub(e.feed.failing) > storeLost)
+	}
+	e.read(ctx, now)
+	e.publish(now)
+}
+
+func (e *Edge) revision() uint64 {
+	if e.config == nil {
+		return 0
+	}
+	return e.config.Revision
+}
+
+func (e *Edge) handle(ctx context.Context, now time.Time, event any) {
+	switch v := event.(type) {
+	case func():
+		v()
+	case link.Incoming:
+		e.receive(ctx, now, v)
+	case settingsRead:
+		e.feed.settingsBusy = false
+		if v.err != nil {
+			e.feed.settingsAt = now.Add(failureGap)
+		}
+		e.noteRead(now, v.err)
+		if v.err == nil {
+			if data := e.world.Settings(now, v.page); data != nil {
+				e.newConfig(now, data, "store")
+			}
+			e.refreshLeader(now)
+		}
+	case serversRead:
+		e.feed.serversBusy = false
+		e.noteRead(now, v.err)
+		if v.err == nil {
+			e.world.Servers(now, v.page)
+			e.world.Forget(now)
+			e.refreshLeader(now)
+		}
+	case fetched:
+		e.feed.fetchBusy = false
+		if v.err != nil {
+			e.common.Log.WithError(v.err).WithField("from", v.from).Warn("configuration not fetched")
+			return
+		}
+		e.newConfig(now, v.data, v.from)
+	case leaderRead:
+		e.runMember(ctx, e.member.LeaderRead(now, v.record, v.next, v.err))
+	case claimed:
+		e.runMember(ctx, e.member.Claimed(now, v.term, v.err))
+	}
+	e.publish(now)
+}
+
+func (e *Edge) newConfig(now time.Time, data []byte, source string) {
+	if !e.setConfig(data, source) {
+		return
+	}
+	if e.leader != nil {
+		e.leader.SetConfig(e.config)
+		e.refreshLeader(now)
+		e.runLeader(e.leader.Announce())
+	}
+}
+
+// refreshLeader gives the leader the newest servers.
+func (e *Edge) refreshLeader(now time.Time) {
+	if e.leader != nil && e.world.ServersNext() > 0 {
+		e.runLeader(e.leader.SetServers(now, e.world.Desk(now, e.config)))
+	}
+}
+
+func (e *Edge) receive(ctx context.Context, now time.Time, in link.Incoming) {
+	switch b := in.Body.(type) {
+	case message.Beat:
+		if e.leader != nil {
+			if b.Term <= e.member.Term() {
+				e.runLeader(e.leader.Receive(now, in.From, in.Envelope))
+				return
+			}
+		}
+		e.runMember(ctx, e.member.Receive(now, in.From, in.Call, in.Body))
+	case message.Ask, message.Report:
+		if e.leader != nil {
+			e.runLeader(e.leader.Receive(now, in.From, in.Envelope))
+		}
+	case message.Grant:
+		// The request that asked has gone on without the answer.
+		if b.Ticket != 0 && b.Server != "" {
+			e.send(in.From, message.Envelope{Body: message.Report{Ticket: b.Ticket, Result: message.Cancelled, Term: b.Term}})
+		}
+	case message.BeatAnswer:
+		e.runMember(ctx, e.member.Receive(now, in.From, in.Call, in.Body))
+		if b.Leads && b.Settings > e.revision() && e.leader == nil {
+			e.fetch(ctx, now, in.From)
+		}
+	default:
+		e.runMember(ctx, e.member.Receive(now, in.From, in.Call, in.Body))
+	}
+}
+
+func (e *Edge) runMember(ctx context.Context, effects []member.Effect) {
+	for _, effect := range effects {
+		switch v := effect.(type) {
+		case member.Send:
+			if m, ok := v.Body.(message.Envelope); ok {
+				e.send(v.To, m)
+			}
+		case member.ReadLeader:
+			go func() {
+				record, next, err := e.registry.ReadLeader(ctx, 0, 0)
+				e.deliver(ctx, leaderRead{record, next, err})
+			}()
+		case member.Claim:
+			go func() {
+				err := e.registry.ClaimLeader(ctx, v.At, v.Record)
+				e.deliver(ctx, claimed{v.Record.Term, err})
+			}()
+		case member.Lead:
+			e.lead(v.Term)
+		case member.StepDown:
+			e.note("stepping down", map[string]any{"newer": v.Newer})
+			e.leader = nil
+		case member.Note:
+			e.note(v.Name, v.Fields)
+		}
+	}
+}
+
+func (e *Edge) lead(term azuretiller.Term) {
+	b := e.settings.Bounds
+	e.leader = leader.New(leader.Params{
+		Desk:       desk.Params{RetryRatio: b.RetryRatio, RetrySlack: b.RetrySlack, Crossing: crossing},
+		RateOver:   b.RateOver,
+		RateSlack:  b.RateSlack,
+		RateWindow: b.RateWindow,
+	}, e.check, term, e.self.ID, e.self.Peer)
+	e.leader.SetConfig(e.config)
+	e.feed.settingsAt, e.feed.serversAt = time.Time{}, time.Time{}
+	e.note("leading", map[string]any{"term": term, "version": e.revision()})
+}
+
+func (e *Edge) runLeader(effects []leader.Effect) {
+	for _, effect := range effects {
+		switch v := effect.(type) {
+		case leader.Send:
+			e.send(v.To, v.Message)
+		case leader.Note:
+			e.note(v.Name, v.Fields)
+		}
+	}
+}
+
+func (e *Edge) leave() {
+	now := e.common.Clock.Now()
+	e.leaving = true
+	e.runMember(context.Background(), e.member.Leave(now))
+	e.publish(now)
+}
+
+// publish makes what the VM knows available to traffic.
+func (e *Edge) publish(now time.Time) {
+	_, address := e.member.Leader()
+	view := e.member.View()
+	s := &gateway.State{
+		VM:       e.self.ID,
+		Zone:     e.self.Zone,
+		Config:   e.config,
+		Term:     e.member.Term(),
+		Leader:   address,
+		InTouch:  e.member.InTouch(now),
+		Isolated: e.member.OutFor(now) > isolatedAfter,
+		Leaving:  e.leaving,
+		Members:  view.Members,
+		Servers:  view.Servers,
+	}
+	if !s.InTouch && e.world.ServersNext() > 0 && e.leader == nil && e.member.OutFor(now) > aloneAfter {
+		s.Servers = e.ownServers(now)
+	}
+	e.state.Store(s)
+}
+
+// ownServers returns the servers as this VM read them itself.
+func (e *Edge) ownServers(now time.Time) []message.Server {
+	const unknown = 50
+	var servers []message.Server
+	for service, list := range e.world.Desk(now, e.config) {
+		for _, s := range list {
+			servers = append(servers, message.Server{
+				ID:      s.ID,
+				Service: service,
+				Address: s.Address,
+				Zone:    s.Zone,
+				Slots:   s.Slots,
+				Closed:  s.Closed || now.Before(s.ColdUntil),
+				Success: unknown,
+			})
+		}
+	}
+	return servers
+}
+
+// serveDump writes the state of the process.
+func (e *Edge) serveDump(w http.ResponseWriter, r *http.Request) {
+	answer := make(chan []byte, 1)
+	e.post(func() {
+		leaderID, address := e.member.Leader()
+		data, err := json.MarshalIndent(map[string]any{
+			"vm":       e.self.ID,
+			"term":     e.member.Term(),
+			"leader":   leaderID,
+			"address":  address,
+			"leading":  e.leader != nil,
+			"revision": e.revision(),
+			"members":  e.member.View().Members,
+			"servers":  e.member.View().Servers,
+		}, "", "  ")
+		if err != nil {
+			data = []byte(err.Error())
+		}
+		answer <- data
+	})
+	select {
+	case data := <-answer:
+		w.Header().Set("Content-Type", "application/json")
+		_, _ = w.Write(data)
+	case <-r.Context().Done():
+	}
+}
+
+func fieldsOf(m map[string]any) log.Fields { return log.Fields(m) }
--- /dev/null
+++ b/pkg/edge/feed.go
@@ -0,0 +1,119 @@
+package edge
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/azuretiller/azuretiller"
+)
+
+const (
+	// settingsWait is how long the leader's read of the settings waits for a change.
+	settingsWait = 2 * time.Second
+	// serversGap is the time between the leader's reads of the registry of servers.
+	serversGap = 400 * time.Millisecond
+	// aloneGap is the time between the reads of a VM that is out of touch, which begin after aloneAfter.
+	aloneGap   = 900 * time.Millisecond
+	aloneAfter = time.Second
+	// failureGap is the time between reads that fail.
+	failureGap = 300 * time.Millisecond
+	// storeLost is the time without a good read after which the leader asks for a successor that can read.
+	storeLost = 900 * time.Millisecond
+	// isolatedAfter is the time out of touch after which the view of the fleet is too old for callers.
+	isolatedAfter = 2 * time.Second
+	fetchRetry    = 400 * time.Millisecond
+)
+
+// feed is what the control goroutine knows of its reads.
+type feed struct {
+	settingsBusy, serversBusy, fetchBusy bool
+	// The times from which the next read may begin.
+	settingsAt, serversAt, fetchAt time.Time
+	// failing is when reads began to fail, zero while they succeed.
+	failing time.Time
+	client  http.Client
+}
+
+// settingsRead, serversRead and fetched are the results of reads.
+type settingsRead struct {
+	page azuretiller.SettingsPage
+	err  error
+}
+
+type serversRead struct {
+	page azuretiller.ServersPage
+	err  error
+}
+
+type fetched struct {
+	data []byte
+	from string
+	err  error
+}
+
+// read begins the reads that are due: the leader reads for all, a VM that is out of touch for itself.
+func (e *Edge) read(ctx context.Context, now time.Time) {
+	wait, gap := settingsWait, serversGap
+	if e.leader == nil {
+		if e.member.OutFor(now) < aloneAfter {
+			return
+		}
+		wait, gap = 0, aloneGap
+	}
+	if !e.feed.settingsBusy && !now.Before(e.feed.settingsAt) {
+		e.feed.settingsBusy = true
+		if wait == 0 {
+			e.feed.settingsAt = now.Add(gap)
+		}
+		from := e.world.SettingsNext()
+		go func() {
+			page, err := e.registry.ReadSettings(ctx, from, wait)
+			e.deliver(ctx, settingsRead{page, err})
+		}()
+	}
+	if !e.feed.serversBusy && !now.Before(e.feed.serversAt) {
+		e.feed.serversBusy = true
+		e.feed.serversAt = now.Add(gap)
+		from := e.world.ServersNext()
+		go func() {
+			page, err := e.registry.ReadServers(ctx, from, 0)
+			e.deliver(ctx, serversRead{page, err})
+		}()
+	}
+}
+
+// deliver hands the result of a read to the control goroutine, which waits for it.
+func (e *Edge) deliver(ctx context.Context, event any) {
+	select {
+	case e.inbox <- event:
+	case <-ctx.Done():
+	}
+}
+
+// fetch gets the configuration of another VM when that has a newer one.
+func (e *Edge) fetch(ctx context.Context, now time.Time, from string) {
+	if e.feed.fetchBusy || now.Before(e.feed.fetchAt) || from == "" {
+		return
+	}
+	e.feed.fetchBusy = true
+	e.feed.fetchAt = now.Add(fetchRetry)
+	client := &e.feed.client
+	go func() {
+		data, err := fetchSettings(ctx, client, from)
+		e.deliver(ctx, fetched{data, from, err})
+	}()
+}
+
+// noteRead keeps track of whether the store answers.
+func (e *Edge) noteRead(now time.Time, err error) {
+	switch {
+	case err != nil && e.feed.failing.IsZero():
+		e.feed.failing = now
+		e.common.Log.WithError(err).Warn("store lost")
+	case err == nil && !e.feed.failing.IsZero():
+		e.note("store back", map[string]any{"away": now.Sub(e.feed.failing)})
+		e.feed.failing = time.Time{}
+		e.world.Back(now)
+	}
+}
--- /dev/null
+++ b/pkg/fleetwire/codec.go
@@ -0,0 +1,117 @@
+package fleetwire
+
+import (
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/azuretiller/azuretiller"
+	"github.com/azuretiller/azuretiller/pkg/fleetpb"
+	"github.com/azuretiller/azuretiller/pkg/message"
+)
+
+// Encode writes a message.
+func Encode(e message.Envelope) ([]byte, error) {
+	d := &fleetpb.Datagram{Call: e.Call}
+	switch b := e.Body.(type) {
+	case message.Beat:
+		d.Body = &fleetpb.Datagram_Beat{Beat: &fleetpb.Beat{
+			Vm:          string(b.VM),
+			Incarnation: uint64(b.Incarnation),
+			Zone:        string(b.Zone),
+			Callers:     b.Callers,
+			Addresses:   b.Addresses,
+			Ready:       b.Ready,
+			Leaving:     b.Leaving,
+			Term:        uint64(b.Term),
+			View:        b.View,
+			Settings:    b.Settings,
+		}}
+	case message.BeatAnswer:
+		d.Body = &fleetpb.Datagram_BeatAnswer{BeatAnswer: &fleetpb.BeatAnswer{
+			Term:     uint64(b.Term),
+			Leads:    b.Leads,
+			Leader:   string(b.Leader),
+			Address:  b.Address,
+			Settings: b.Settings,
+			Resigned: b.Resigned,
+		}}
+	case message.Poll:
+		d.Body = &fleetpb.Datagram_Poll{Poll: &fleetpb.Poll{Term: uint64(b.Term)}}
+	case message.Vote:
+		d.Body = &fleetpb.Datagram_Vote{Vote: &fleetpb.Vote{
+			Term:    uint64(b.Term),
+			InTouch: b.InTouch,
+			Leader:  string(b.Leader),
+			Address: b.Address,
+		}}
+	case message.Ask:
+		d.Body = &fleetpb.Datagram_Ask{Ask: encodeAsk(b)}
+	case message.Grant:
+		d.Body = &fleetpb.Datagram_Grant{Grant: encodeGrant(b)}
+	case message.Report:
+		d.Body = &fleetpb.Datagram_Report{Report: encodeReport(b)}
+	case message.Seen:
+		d.Body = &fleetpb.Datagram_Seen{Seen: &fleetpb.Seen{Term: uint64(b.Term)}}
+	case message.View:
+		d.Body = &fleetpb.Datagram_View{View: encodeView(b)}
+	default:
+		return nil, errors.Newf("no encoding for %T", e.Body)
+	}
+	data, err := proto.Marshal(d)
+	return data, errors.Wrap(err, "encode datagram")
+}
+
+// Decode reads a message.
+func Decode(data []byte) (message.Envelope, error) {
+	var d fleetpb.Datagram
+	if err := proto.Unmarshal(data, &d); err != nil {
+		return message.Envelope{}, errors.Wrap(err, "decode datagram")
+	}
+	e := message.Envelope{Call: d.GetCall()}
+	switch b := d.GetBody().(type) {
+	case *fleetpb.Datagram_Beat:
+		e.Body = message.Beat{
+			VM:          azuretiller.VMID(b.Beat.GetVm()),
+			Incarnation: azuretiller.Incarnation(b.Beat.GetIncarnation()),
+			Zone:        azuretiller.Zone(b.Beat.GetZone()),
+			Callers:     b.Beat.GetCallers(),
+			Addresses:   b.Beat.GetAddresses(),
+			Ready:       b.Beat.GetReady(),
+			Leaving:     b.Beat.GetLeaving(),
+			Term:        azuretiller.Term(b.Beat.GetTerm()),
+			View:        b.Beat.GetView(),
+			Settings:    b.Beat.GetSettings(),
+		}
+	case *fleetpb.Datagram_BeatAnswer:
+		e.Body = message.BeatAnswer{
+			Term:     azuretiller.Term(b.BeatAnswer.GetTerm()),
+			Leads:    b.BeatAnswer.GetLeads(),
+			Leader:   azuretiller.VMID(b.BeatAnswer.GetLeader()),
+			Address:  b.BeatAnswer.GetAddress(),
+			Settings: b.BeatAnswer.GetSettings(),
+			Resigned: b.BeatAnswer.GetResigned(),
+		}
+	case *fleetpb.Datagram_Poll:
+		e.Body = message.Poll{Term: azuretiller.Term(b.Poll.GetTerm())}
+	case *fleetpb.Datagram_Vote:
+		e.Body = message.Vote{
+			Term:    azuretiller.Term(b.Vote.GetTerm()),
+			InTouch: b.Vote.GetInTouch(),
+			Leader:  azuretiller.VMID(b.Vote.GetLeader()),
+			Address: b.Vote.GetAddress(),
+		}
+	case *fleetpb.Datagram_Ask:
+		e.Body = decodeAsk(b.Ask)
+	case *fleetpb.Datagram_Grant:
+		e.Body = decodeGrant(b.Grant)
+	case *fleetpb.Datagram_Report:
+		e.Body = decodeReport(b.Report)
+	case *fleetpb.Datagram_Seen:
+		e.Body = message.Seen{Term: azuretiller.Term(b.Seen.GetTerm())}
+	case *fleetpb.Datagram_View:
+		e.Body = decodeView(b.View)
+	default:
+		return message.Envelope{}, errors.New("datagram without a known body")
+	}
+	return e, nil
+}
--- /dev/null
+++ b/pkg/fleetwire/request.go
@@ -0,0 +1,119 @@
+package fleetwire
+
+import (
+	"time"
+
+	"github.com/azuretiller/azuretiller"
+	"github.com/azuretiller/azuretiller/pkg/config"
+	"github.com/azuretiller/azuretiller/pkg/fleetpb"
+	"github.com/azuretiller/azuretiller/pkg/message"
+)
+
+func encodeAsk(a message.Ask) *fleetpb.Ask {
+	p := &fleetpb.Ask{
+		Request:     a.Request,
+		Route:       string(a.Route),
+		Team:        string(a.Team),
+		DeadlineMs:  milliseconds(a.Deadline),
+		ObjectiveMs: milliseconds(a.Objective),
+		Priority:    uint32(a.Priority),
+		Idempotent:  a.Idempotent,
+		Attempt:     uint32(a.Attempt),
+		Fingerprint: a.Fingerprint,
+		Term:        uint64(a.Term),
+		Hedge:       a.Hedge,
+	}
+	for _, b := range a.Backends {
+		p.Backends = append(p.Backends, &fleetpb.Backend{Service: string(b.Service), Weight: uint32(b.Weight)})
+	}
+	for _, id := range a.Tried {
+		p.Tried = append(p.Tried, string(id))
+	}
+	if a.Last != nil {
+		p.Last = encodeReport(*a.Last)
+	}
+	return p
+}
+
+func decodeAsk(p *fleetpb.Ask) message.Ask {
+	a := message.Ask{
+		Request:     p.GetRequest(),
+		Route:       azuretiller.RouteID(p.GetRoute()),
+		Team:        azuretiller.TeamID(p.GetTeam()),
+		Deadline:    span(p.GetDeadlineMs()),
+		Objective:   span(p.GetObjectiveMs()),
+		Priority:    int(p.GetPriority()),
+		Idempotent:  p.GetIdempotent(),
+		Attempt:     int(p.GetAttempt()),
+		Fingerprint: p.GetFingerprint(),
+		Term:        azuretiller.Term(p.GetTerm()),
+		Hedge:       p.GetHedge(),
+	}
+	for _, b := range p.GetBackends() {
+		a.Backends = append(a.Backends, config.Backend{Service: azuretiller.ServiceID(b.GetService()), Weight: int(b.GetWeight())})
+	}
+	for _, id := range p.GetTried() {
+		a.Tried = append(a.Tried, azuretiller.InstanceID(id))
+	}
+	if p.GetLast() != nil {
+		last := decodeReport(p.GetLast())
+		a.Last = &last
+	}
+	return a
+}
+
+func encodeGrant(g message.Grant) *fleetpb.Grant {
+	return &fleetpb.Grant{
+		Ticket:       uint64(g.Ticket),
+		Server:       string(g.Server),
+		Address:      g.Address,
+		Service:      string(g.Service),
+		Code:         uint32(g.Code),
+		RetryAfterMs: milliseconds(g.RetryAfter),
+		Waiting:      g.Waiting,
+		Term:         uint64(g.Term),
+	}
+}
+
+func decodeGrant(p *fleetpb.Grant) message.Grant {
+	return message.Grant{
+		Ticket:     message.TicketID(p.GetTicket()),
+		Server:     azuretiller.InstanceID(p.GetServer()),
+		Address:    p.GetAddress(),
+		Service:    azuretiller.ServiceID(p.GetService()),
+		Code:       azuretiller.Code(p.GetCode()),
+		RetryAfter: span(p.GetRetryAfterMs()),
+		Waiting:    p.GetWaiting(),
+		Term:       azuretiller.Term(p.GetTerm()),
+	}
+}
+
+func encodeReport(r message.Report) *fleetpb.Report {
+	return &fleetpb.Report{
+		Ticket: uint64(r.Ticket),
+		Result: uint32(r.Result),
+		TookMs: milliseconds(r.Took),
+		Server: string(r.Server),
+		Term:   uint64(r.Term),
+	}
+}
+
+func decodeReport(p *fleetpb.Report) message.Report {
+	return message.Report{
+		Ticket: message.TicketID(p.GetTicket()),
+		Result: message.Result(p.GetResult()),
+		Took:   span(p.GetTookMs()),
+		Server: azuretiller.InstanceID(p.GetServer()),
+		Term:   azuretiller.Term(p.GetTerm()),
+	}
+}
+
+// milliseconds rounds up, so that a short time does not become none.
+func milliseconds(d time.Duration) uint32 {
+	if d <= 0 {
+		return 0
+	}
+	return uint32((d + time.Millisecond - 1) / time.Millisecond)
+}
+
+func span(ms uint32) time.Duration { return time.Duration(ms) * time.Millisecond }
--- /dev/null
+++ b/pkg/fleetwire/view.go
@@ -0,0 +1,57 @@
+package fleetwire
+
+import (
+	"github.com/azuretiller/azuretiller"
+	"github.com/azuretiller/azuretiller/pkg/fleetpb"
+	"github.com/azuretiller/azuretiller/pkg/message"
+)
+
+func encodeView(v message.View) *fleetpb.View {
+	p := &fleetpb.View{Term: uint64(v.Term), Version: v.Version}
+	for _, m := range v.Members {
+		p.Members = append(p.Members, &fleetpb.Member{
+			Vm:      string(m.VM),
+			Zone:    string(m.Zone),
+			Callers: m.Callers,
+			Peer:    m.Peer,
+			Ready:   m.Ready,
+		})
+	}
+	for _, s := range v.Servers {
+		p.Servers = append(p.Servers, &fleetpb.Server{
+			Id:      string(s.ID),
+			Service: string(s.Service),
+			Address: s.Address,
+			Zone:    string(s.Zone),
+			Slots:   uint32(s.Slots),
+			Closed:  s.Closed,
+			Success: uint32(s.Success),
+		})
+	}
+	return p
+}
+
+func decodeView(p *fleetpb.View) message.View {
+	v := message.View{Term: azuretiller.Term(p.GetTerm()), Version: p.GetVersion()}
+	for _, m := range p.GetMembers() {
+		v.Members = append(v.Members, message.Member{
+			VM:      azuretiller.VMID(m.GetVm()),
+			Zone:    azuretiller.Zone(m.GetZone()),
+			Callers: m.GetCallers(),
+			Peer:    m.GetPeer(),
+			Ready:   m.GetReady(),
+		})
+	}
+	for _, s := range p.GetServers() {
+		v.Servers = append(v.Servers, message.Server{
+			ID:      azuretiller.InstanceID(s.GetId()),
+			Service: azuretiller.ServiceID(s.GetService()),
+			Address: s.GetAddress(),
+			Zone:    azuretiller.Zone(s.GetZone()),
+			Slots:   int(s.GetSlots()),
+			Closed:  s.GetClosed(),
+			Success: int(s.GetSuccess()),
+		})
+	}
+	return v
+}
--- /dev/null
+++ b/pkg/gateway/params.go
@@ -0,0 +1,23 @@
+package gateway
+
+import "time"
+
+const (
+	// askRepeat is how soon a question to the leader is sent again, and askPatience when the VM decides on its own.
+	// An answer takes a few milliseconds inside a region.
+	askRepeat   = 70 * time.Millisecond
+	askPatience = 230 * time.Millisecond
+	// reportRepeat and reportTries do the same for results.
+	reportRepeat = 150 * time.Millisecond
+	reportTries  = 4
+	// leastLeft is the time that must be left for one more attempt.
+	leastLeft = 60 * time.Millisecond
+	// hedgeShare is the share of the objective after which a request that may run twice is sent to a second server.
+	hedgeShare = 0.6
+	// notReadyRetry is told to callers of a VM without a configuration.
+	notReadyRetry = 500 * time.Millisecond
+	// defaultBody bounds bodies while the configuration states no limit, in bytes.
+	defaultBody = 8 << 20
+	// copyBuffer is the size of the pieces of a long answer.
+	copyBuffer = 64 << 10
+)
--- /dev/null
+++ b/pkg/gateway/state.go
@@ -0,0 +1,29 @@
+package gateway
+
+import (
+	"github.com/azuretiller/azuretiller"
+	"github.com/azuretiller/azuretiller/pkg/config"
+	"github.com/azuretiller/azuretiller/pkg/message"
+)
+
+// State is what a VM knows at one moment; it is not changed after it is published.
+type State struct {
+	VM   azuretiller.VMID
+	Zone azuretiller.Zone
+	// Config is nil until a configuration was read.
+	Config *config.Config
+	Term   azuretiller.Term
+	// Leader is the host:port of the leader, and InTouch tells whether it answered lately.
+	Leader  string
+	InTouch bool
+	// Isolated means that the VM has been out of touch for so long that the view may name VMs that are down.
+	Isolated bool
+	Leaving  bool
+	Members  []message.Member
+	Servers  []message.Server
+}
+
+// Ready reports whether the VM can serve callers.
+func (s *State) Ready() bool {
+	return s.Config != nil && !s.Leaving && (s.InTouch || len(s.Servers) > 0)
+}
--- /dev/null
+++ b/pkg/link/doc.go
@@ -0,0 +1,2 @@
+// Package link sends datagrams between VMs and matches answers with questions.
+package link
--- /dev/null
+++ b/pkg/member/effect.go
@@ -0,0 +1,60 @@
+package member
+
+import (
+	"github.com/apex/log"
+
+	"github.com/azuretiller/azuretiller"
+	"github.com/azuretiller/azuretiller/pkg/message"
+)
+
+// Effect is something the process has to do for the member.
+type Effect interface{ effect() }
+
+// Send sends a message to the host:port of a VM.
+type Send struct {
+	To   string
+	Body any
+}
+
+// ReadLeader reads the leader record; the answer goes to LeaderRead.
+type ReadLeader struct{}
+
+// Claim writes a leader record; the answer goes to Claimed.
+type Claim struct {
+	At     azuretiller.Offset
+	Record azuretiller.LeaderRecord
+}
+
+// Lead makes this VM the leader of a term.
+type Lead struct{ Term azuretiller.Term }
+
+// StepDown ends the lead of this VM.
+type StepDown struct{ Newer azuretiller.Term }
+
+// Note writes a log line.
+type Note struct {
+	Name   string
+	Fields log.Fields
+}
+
+func (Send) effect()       {}
+func (ReadLeader) effect() {}
+func (Claim) effect()      {}
+func (Lead) effect()       {}
+func (StepDown) effect()   {}
+func (Note) effect()       {}
+
+// note returns the effects with a log line at the end.
+func note(effects []Effect, name string, fields log.Fields) []Effect {
+	return append(effects, Note{Name: name, Fields: fields})
+}
+
+func (m *Member) hello(call uint64, to string, leads, resigned bool) Effect {
+	return Send{To: to, Body: message.Envelope{Call: call, Body: message.BeatAnswer{
+		Term:     m.term,
+		Leads:    leads,
+		Leader:   m.leader,
+		Address:  m.address,
+		Resigned: resigned,
+	}}}
+}
--- /dev/null
+++ b/pkg/member/params.go
@@ -0,0 +1,27 @@
+package member
+
+import "time"
+
+const (
+	// beatGap is the time between heartbeats to the leader.
+	beatGap = 300 * time.Millisecond
+	// lostAfter is the time without an answer of the leader after which this VM is out of touch: two answers are lost then.
+	lostAfter = 750 * time.Millisecond
+	// helloTime is how long a leader that this VM just heard of has to answer.
+	helloTime = 400 * time.Millisecond
+	// pollTime is how long votes are collected.
+	pollTime = 150 * time.Millisecond
+	// readRetry is the time between reads of the leader record while the store fails.
+	readRetry = 600 * time.Millisecond
+	// isolatedRetry is the time between polls of a VM that alone is out of touch.
+	isolatedRetry = time.Second
+
+	// The first candidates claim at intervals of firstStep, the others later, so that few VMs call the store.
+	candidates = 4
+	firstStep  = 25 * time.Millisecond
+	laterStart = 1200 * time.Millisecond
+	laterStep  = 40 * time.Millisecond
+	// bootStep spreads VMs that start together and know no other.
+	bootStep  = 20 * time.Millisecond
+	bootSlots = 10
+)
--- /dev/null
+++ b/pkg/message/doc.go
@@ -0,0 +1,2 @@
+// Package message defines what the VMs of a fleet tell one another.
+package message
--- /dev/null
+++ b/pkg/meter/doc.go
@@ -0,0 +1,2 @@
+// Package meter keeps teams within their rates and bursts.
+package meter
--- /dev/null
+++ b/pkg/metrics/metrics.go
@@ -0,0 +1,35 @@
+package metrics
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	client "github.com/prometheus/client_golang/prometheus"
+	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+)
+
+// Metrics is the root scope of a process with the handler that serves it.
+type Metrics struct {
+	Scope   tally.Scope
+	Handler http.Handler
+	closer  io.Closer
+}
+
+// New returns metrics that are brought up to date once an interval.
+func New(interval time.Duration) *Metrics {
+	registry := client.NewRegistry()
+	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:         "azuretiller",
+		CachedReporter: reporter,
+		Separator:      prometheus.DefaultSeparator,
+		// The library's own metrics have names that the reporter refuses.
+		OmitCardinalityMetrics: true,
+	}, interval)
+	return &Metrics{Scope: scope, Handler: reporter.HTTPHandler(), closer: closer}
+}
+
+// Close stops the updates.
+func (m *Metrics) Close() error { return m.closer.Close() }
--- a/pkg/timer/service.go
+++ b/pkg/timer/service.go
@@ -6,6 +6,9 @@
 	"time"
 )
 
+// longestSleep bounds how late a new subscriber is noticed.
+const longestSleep = 100 * time.Millisecond
+
 // Service wakes its subscribers at their intervals; a subscriber that is busy misses wake-ups rather than collecting them.
 type Service struct {
 	step time.Duration
@@ -20,7 +23,7 @@
 	wake     chan time.Time
 }
 
-// New returns a service whose intervals are multiples of step.
+// New returns a service that wakes at most once a step.
 func New(step time.Duration) *Service {
 	return &Service{step: step}
 }
@@ -34,31 +37,34 @@
 	return sub.wake
 }
 
-// Run serves the subscribers until the context ends.
+// Run serves the subscribers until the context ends. It sleeps until the next one is due.
 func (s *Service) Run(ctx context.Context) {
-	ticker := time.NewTicker(s.step)
-	defer ticker.Stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case now := <-ticker.C:
-			s.wake(now)
+		case now := <-timer.C:
+			timer.Reset(s.wake(now))
 		}
 	}
 }
 
-func (s *Service) wake(now time.Time) {
+// wake serves the subscribers that are due and returns the time until the next one is, at least one step.
+func (s *Service) wake(now time.Time) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	sleep := longestSleep
 	for _, sub := range s.subscriptions {
-		if now.Before(sub.next) {
-			continue
-		}
-		sub.next = now.Add(sub.interval)
-		select {
-		case sub.wake <- now:
-		default:
+		if !now.Before(sub.next) {
+			sub.next = now.Add(sub.interval)
+			select {
+			case sub.wake <- now:
+			default:
+			}
 		}
+		sleep = min(sleep, sub.next.Sub(now))
 	}
+	return max(sleep, s.step)
 }
--- a/pkg/vmprocess/process.go
+++ b/pkg/vmprocess/process.go
@@ -7,11 +7,9 @@
 
 	"github.com/apex/log"
 	"github.com/cockroachdb/errors"
-	client "github.com/prometheus/client_golang/prometheus"
-	"github.com/uber-go/tally/v4"
-	"github.com/uber-go/tally/v4/prometheus"
 
 	"github.com/azuretiller/azuretiller/pkg/common"
+	"github.com/azuretiller/azuretiller/pkg/metrics"
 	"github.com/azuretiller/azuretiller/pkg/node"
 	"github.com/azuretiller/azuretiller/pkg/operator"
 	"github.com/azuretiller/azuretiller/pkg/platform"
@@ -26,7 +24,7 @@
 	node      *node.Node
 	listeners node.Listeners
 	operators *operator.Handler
-	metrics   interface{ Close() error }
+	metrics   *metrics.Metrics
 }
 
 // New opens the sockets of a VM; nothing is served until Run.
@@ -43,22 +41,14 @@
 			return nil, errors.Wrap(err, "open socket")
 		}
 	}
-	registry := client.NewRegistry()
-	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
-	scope, closer := tally.NewRootScope(tally.ScopeOptions{
-		Prefix:         "azuretiller",
-		CachedReporter: reporter,
-		Separator:      prometheus.DefaultSeparator,
-		// The library's own metrics have names that the reporter refuses.
-		OmitCardinalityMetrics: true,
-	}, metricsInterval)
-	c := &common.Common{Log: logger, Clock: systemclock.New(), Metrics: scope}
+	m := metrics.New(metricsInterval)
+	c := &common.Common{Log: logger, Clock: systemclock.New(), Metrics: m.Scope}
 	n := node.New(c, s, platform.New(s.Platform.URL, s.Platform.Token))
 	return &Process{
 		node:      n,
 		listeners: l,
-		operators: operator.New(n, s.Token, reporter.HTTPHandler()),
-		metrics:   closer,
+		operators: operator.New(n, s.Token, m.Handler),
+		metrics:   m,
 	}, nil
 }
 
