--- a/pkg/budget/budget.go
+++ b/pkg/budget/budget.go
@@ -20,6 +20,14 @@
 	b.saved = min(b.saved+b.ratio, b.reserve)
 }
 
+// Saved returns the share of the reserve that is saved up.
+func (b *Budget) Saved() float64 {
+	if b.reserve <= 0 {
+		return 0
+	}
+	return b.saved / b.reserve
+}
+
 // Spend takes one extra attempt and reports whether there was one.
 func (b *Budget) Spend() bool {
 	if b.saved < 1 {
--- a/pkg/desk/choose.go
+++ b/pkg/desk/choose.go
@@ -38,10 +38,14 @@
 
 func (d *Desk) score(now time.Time, s *server, w *waiter, spread bool) float64 {
 	success := s.belief.Success(now)
-	score := success - crowding*float64(s.busy)*(1-success)
+	failure := 1 - success
+	if w.Idempotent && !w.Repeat && d.retries.Saved() > leastBudget {
+		failure *= secondChance
+	}
+	score := -failure - crowding*float64(s.busy)*failure
 	score -= loadPenalty * float64(s.busy) / float64(max(s.Slots, 1))
 	if s.Zone != w.Zone {
-		score -= d.params.Crossing
+		score -= d.params.Crossing + d.params.CrossingKB*d.size[w.Route]/1024
 	}
 	if now.Before(s.ColdUntil) {
 		score -= coldPenalty
--- a/pkg/desk/desk.go
+++ b/pkg/desk/desk.go
@@ -23,6 +23,8 @@
 	queues  []*queue
 	running map[message.TicketID]*attempt
 	typical map[azuretiller.RouteID]time.Duration
+	// size is the average size of the answers of each route, in bytes.
+	size    map[azuretiller.RouteID]float64
 	retries *budget.Budget
 	recent  recent
 }
@@ -67,6 +69,7 @@
 		model:   belief.NewModel(),
 		running: map[message.TicketID]*attempt{},
 		typical: map[azuretiller.RouteID]time.Duration{},
+		size:    map[azuretiller.RouteID]float64{},
 		retries: budget.New(retryShare*p.RetryRatio, retryReserve*p.RetrySlack, retryStart*p.RetrySlack),
 	}
 }
@@ -90,17 +93,17 @@
 func (d *Desk) Offer(now time.Time, r Request) []Decision {
 	if r.Repeat {
 		if !d.retries.Spend() {
-			return []Decision{d.refuse(r, azuretiller.CodeOverloaded, d.drainTime())}
+			return []Decision{d.refuse(now, r, azuretiller.CodeOverloaded, d.drainTime())}
 		}
 	} else {
 		d.retries.Request()
 	}
 	if !slices.ContainsFunc(d.servers, func(s *server) bool { return !s.Closed && !s.moved }) {
-		return []Decision{d.refuse(r, azuretiller.CodeNoServer, time.Second)}
+		return []Decision{d.refuse(now, r, azuretiller.CodeNoServer, time.Second)}
 	}
 	w := &waiter{Request: r, since: now, until: waitLimit(now, r), better: now.Add(betterWait)}
 	if wait := d.expectedWait(r.Priority); now.Add(wait).After(w.until) {
-		return []Decision{d.refuse(r, azuretiller.CodeOverloaded, wait)}
+		return []Decision{d.refuse(now, r, azuretiller.CodeOverloaded, wait)}
 	}
 	d.queue(r.Priority).Push(r.Team, 1, r.Route, w)
 	decisions := d.pump(now)
@@ -212,6 +215,7 @@
 		Success: s.belief.Success(now),
 		Busy:    s.busy,
 		Queued:  now.Sub(w.since),
+		Crossed: s.Zone != w.Zone,
 
 		Deadline:    w.Deadline,
 		Fingerprint: w.Fingerprint,
@@ -223,12 +227,13 @@
 	return decision
 }
 
-func (d *Desk) refuse(r Request, code azuretiller.Code, wait time.Duration) Decision {
+func (d *Desk) refuse(now time.Time, r Request, code azuretiller.Code, wait time.Duration) Decision {
+	d.recent.add(now, false)
 	return Decision{Key: r.Key, ID: r.ID, Code: code, RetryAfter: wait}
 }
 
 // Finish takes the result of an attempt and frees its slot; it reports false for a ticket that it does not know.
-func (d *Desk) Finish(now time.Time, ticket message.TicketID, result message.Result, took time.Duration) ([]Decision, bool) {
+func (d *Desk) Finish(now time.Time, ticket message.TicketID, result message.Result, took time.Duration, bytes int) ([]Decision, bool) {
 	a, ok := d.running[ticket]
 	if !ok {
 		return nil, false
@@ -236,6 +241,12 @@
 	delete(d.running, ticket)
 	a.server.busy--
 	d.learn(now, a, result, took)
+	if result == message.Succeeded {
+		d.size[a.Route] += typicalWeight * (float64(bytes) - d.size[a.Route])
+		if d.size[a.Route] < firstSize*float64(bytes) {
+			d.size[a.Route] = float64(bytes)
+		}
+	}
 	return d.pump(now), true
 }
 
@@ -280,12 +291,15 @@
 	decisions := d.pump(now)
 	for _, q := range d.queues {
 		for _, w := range q.waiting.Remove(func(w *waiter) bool { return !now.Before(w.until) }) {
-			decisions = append(decisions, d.refuse(w.Request, azuretiller.CodeQueueTimeout, d.drainTime()))
+			decisions = append(decisions, d.refuse(now, w.Request, azuretiller.CodeQueueTimeout, d.drainTime()))
 		}
 	}
 	return decisions
 }
 
+// Turned notes a request of the service that was turned away before it came to the desk.
+func (d *Desk) Turned(now time.Time) { d.recent.add(now, false) }
+
 // Withdraw drops a waiting request whose caller left.
 func (d *Desk) Withdraw(key Key) {
 	for _, q := range d.queues {
--- a/pkg/desk/params.go
+++ b/pkg/desk/params.go
@@ -8,8 +8,10 @@
 	RetryRatio float64
 	// RetrySlack is the number of repeats that the deployment tolerates beyond the ratio.
 	RetrySlack float64
-	// Crossing is what sending a request to another zone costs, as a share of the request's worth.
-	Crossing float64
+	// Crossing is what sending a request to another zone costs, as a share of the request's worth, and CrossingKB what each
+	// 1,024 bytes of its answer add.
+	Crossing   float64
+	CrossingKB float64
 }
 
 const (
@@ -32,8 +34,15 @@
 
 	// firstTypical is the service time in use until the first answer.
 	firstTypical = 200 * time.Millisecond
+	// secondChance is what a failure counts for a request that may be sent to another server.
+	secondChance = 0.35
+	// leastBudget is the share of the saved repeats below which second chances are not counted on.
+	leastBudget = 0.3
+
 	// typicalWeight is the weight of the newest answer in the average service time.
 	typicalWeight = 0.05
+	// firstSize is the share of an answer's size below which the average is taken for not learnt yet.
+	firstSize = 0.1
 	// overdueFactor is the multiple of the usual service time after which an attempt speaks against its server.
 	overdueFactor = 3
 	leastOverdue  = 300 * time.Millisecond
--- a/pkg/desk/request.go
+++ b/pkg/desk/request.go
@@ -46,6 +46,8 @@
 	Success float64
 	Busy    int
 	Queued  time.Duration
+	// Crossed means that the server is in another zone than the VM.
+	Crossed bool
 	// Deadline and Fingerprint are the request's.
 	Deadline    time.Time
 	Fingerprint uint64
--- a/pkg/edge/control.go
+++ b/pkg/edge/control.go
@@ -17,8 +17,12 @@
 	"github.com/azuretiller/azuretiller/pkg/message"
 )
 
-// crossing is what sending a request to another zone costs, as a share of its worth.
-const crossing = 0.05
+// crossing is what sending a request to another zone costs, as a share of its worth: links between zones are paid by the byte.
+const (
+	crossing = 0.03
+	// crossingKB is what each 1,024 bytes of the answer add.
+	crossingKB = 0.0035
+)
 
 // leaderRead and claimed are the results of calls to the store about the lead.
 type leaderRead struct {
@@ -55,9 +59,12 @@
 	if e.leader != nil {
 		e.refreshLeader(now)
 		e.runLeader(e.leader.Tick(now))
-		e.leader.SetResigned(e.leaving || !e.feed.failing.IsZero() && now.Sub(e.feed.failing) > storeLost)
+		if e.leader.SetResigned(e.leaving || e.lostStore(now)) {
+			e.runLeader(e.leader.Announce())
+		}
 	}
 	e.read(ctx, now)
+	e.fetch(ctx, now)
 	e.publish(now)
 }
 
@@ -96,11 +103,7 @@
 		}
 	case fetched:
 		e.feed.fetchBusy = false
-		if v.err != nil {
-			e.common.Log.WithError(v.err).WithField("from", v.from).Warn("configuration not fetched")
-			return
-		}
-		e.newConfig(now, v.data, v.from)
+		e.takeFetched(ctx, now, v)
 	case leaderRead:
 		e.runMember(ctx, e.member.LeaderRead(now, v.record, v.next, v.err))
 	case claimed:
@@ -109,6 +112,22 @@
 	e.publish(now)
 }
 
+// takeFetched takes the configuration of another VM. The first VM of the zone may not have it yet; then the leader is asked.
+func (e *Edge) takeFetched(ctx context.Context, now time.Time, f fetched) {
+	if f.err != nil {
+		e.common.Log.WithError(f.err).WithField("from", f.from).Warn("configuration not fetched")
+		e.feed.fetchFailed = true
+		e.feed.fetchAt = now.Add(fetchRetry)
+		return
+	}
+	e.newConfig(now, f.data, f.from)
+	e.feed.fetchFailed = e.revision() < e.feed.wanted && now.Sub(e.feed.wantedAt) > fetchRetry
+	if e.revision() < e.feed.wanted {
+		e.feed.fetchAt = now.Add(headRetry)
+	}
+	e.fetch(ctx, now)
+}
+
 func (e *Edge) newConfig(now time.Time, data []byte, source string) {
 	if !e.setConfig(data, source) {
 		return
@@ -148,9 +167,10 @@
 		}
 	case message.BeatAnswer:
 		e.runMember(ctx, e.member.Receive(now, in.From, in.Call, in.Body))
-		if b.Leads && b.Settings > e.revision() && e.leader == nil {
-			e.fetch(ctx, now, in.From)
+		if b.Leads && b.Settings > e.feed.wanted {
+			e.feed.wanted, e.feed.wantedFrom, e.feed.wantedAt = b.Settings, in.From, now
 		}
+		e.fetch(ctx, now)
 	default:
 		e.runMember(ctx, e.member.Receive(now, in.From, in.Call, in.Body))
 	}
@@ -187,7 +207,7 @@
 func (e *Edge) lead(term azuretiller.Term) {
 	b := e.settings.Bounds
 	e.leader = leader.New(leader.Params{
-		Desk:       desk.Params{RetryRatio: b.RetryRatio, RetrySlack: b.RetrySlack, Crossing: crossing},
+		Desk:       desk.Params{RetryRatio: b.RetryRatio, RetrySlack: b.RetrySlack, Crossing: crossing, CrossingKB: crossingKB},
 		RateOver:   b.RateOver,
 		RateSlack:  b.RateSlack,
 		RateWindow: b.RateWindow,
--- a/pkg/edge/feed.go
+++ b/pkg/edge/feed.go
@@ -18,11 +18,14 @@
 	aloneAfter = time.Second
 	// failureGap is the time between reads that fail.
 	failureGap = 300 * time.Millisecond
-	// storeLost is the time without a good read after which the leader asks for a successor that can read.
-	storeLost = 900 * time.Millisecond
+	// storeLost is how long a read may take before the leader asks for a successor that can read; the store answers in
+	// milliseconds, and a configuration must be in force within 2 s.
+	storeLost = 650 * time.Millisecond
 	// isolatedAfter is the time out of touch after which the view of the fleet is too old for callers.
 	isolatedAfter = 2 * time.Second
-	fetchRetry    = 400 * time.Millisecond
+	// headRetry is the time between two questions to the VM of this zone that fetches first, and fetchRetry to the leader.
+	headRetry  = 60 * time.Millisecond
+	fetchRetry = 400 * time.Millisecond
 )
 
 // feed is what the control goroutine knows of its reads.
@@ -30,9 +33,15 @@
 	settingsBusy, serversBusy, fetchBusy bool
 	// The times from which the next read may begin.
 	settingsAt, serversAt, fetchAt time.Time
-	// failing is when reads began to fail, zero while they succeed.
-	failing time.Time
-	client  http.Client
+	// failing is when reads began to fail, zero while they succeed, and asked when the read of servers that runs began.
+	failing, asked time.Time
+	// wanted is the newest configuration that another VM told of, and wantedFrom that VM.
+	wanted     uint64
+	wantedAt   time.Time
+	wantedFrom string
+	// fetchFailed means that the VM of this zone that was asked first had no newer configuration.
+	fetchFailed bool
+	client      http.Client
 }
 
 // settingsRead, serversRead and fetched are the results of reads.
@@ -74,6 +83,7 @@
 	}
 	if !e.feed.serversBusy && !now.Before(e.feed.serversAt) {
 		e.feed.serversBusy = true
+		e.feed.asked = now
 		e.feed.serversAt = now.Add(gap)
 		from := e.world.ServersNext()
 		go func() {
@@ -91,13 +101,25 @@
 	}
 }
 
-// fetch gets the configuration of another VM when that has a newer one.
-func (e *Edge) fetch(ctx context.Context, now time.Time, from string) {
-	if e.feed.fetchBusy || now.Before(e.feed.fetchAt) || from == "" {
+// lostStore reports whether the store stopped answering this VM.
+func (e *Edge) lostStore(now time.Time) bool {
+	since := e.feed.failing
+	if since.IsZero() && e.feed.serversBusy {
+		since = e.feed.asked
+	}
+	return !since.IsZero() && now.Sub(since) > storeLost
+}
+
+// fetch gets the newest configuration that another VM told of.
+func (e *Edge) fetch(ctx context.Context, now time.Time) {
+	if e.feed.fetchBusy || now.Before(e.feed.fetchAt) || e.feed.wanted <= e.revision() {
 		return
 	}
 	e.feed.fetchBusy = true
-	e.feed.fetchAt = now.Add(fetchRetry)
+	from := e.member.Head()
+	if from == "" || e.feed.fetchFailed {
+		from = e.feed.wantedFrom
+	}
 	client := &e.feed.client
 	go func() {
 		data, err := fetchSettings(ctx, client, from)
--- a/pkg/fleetwire/codec.go
+++ b/pkg/fleetwire/codec.go
@@ -34,6 +34,7 @@
 			Address:  b.Address,
 			Settings: b.Settings,
 			Resigned: b.Resigned,
+			Known:    b.Known,
 		}}
 	case message.Poll:
 		d.Body = &fleetpb.Datagram_Poll{Poll: &fleetpb.Poll{Term: uint64(b.Term)}}
@@ -90,6 +91,7 @@
 			Address:  b.BeatAnswer.GetAddress(),
 			Settings: b.BeatAnswer.GetSettings(),
 			Resigned: b.BeatAnswer.GetResigned(),
+			Known:    b.BeatAnswer.GetKnown(),
 		}
 	case *fleetpb.Datagram_Poll:
 		e.Body = message.Poll{Term: azuretiller.Term(b.Poll.GetTerm())}
--- a/pkg/fleetwire/request.go
+++ b/pkg/fleetwire/request.go
@@ -93,6 +93,7 @@
 		Ticket: uint64(r.Ticket),
 		Result: uint32(r.Result),
 		TookMs: milliseconds(r.Took),
+		Bytes:  uint32(r.Bytes),
 		Server: string(r.Server),
 		Term:   uint64(r.Term),
 	}
@@ -103,6 +104,7 @@
 		Ticket: message.TicketID(p.GetTicket()),
 		Result: message.Result(p.GetResult()),
 		Took:   span(p.GetTookMs()),
+		Bytes:  int(p.GetBytes()),
 		Server: azuretiller.InstanceID(p.GetServer()),
 		Term:   azuretiller.Term(p.GetTerm()),
 	}
--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -64,7 +64,7 @@
 			}
 			if ctx.Err() == nil && c.mayRetry(ctx, a, pending) {
 				pending++
-				launch(&message.Report{Ticket: a.grant.Ticket, Result: a.answer.Result, Took: a.took, Term: a.grant.Term}, false)
+				launch(&message.Report{Ticket: a.grant.Ticket, Result: a.answer.Result, Took: a.took, Bytes: len(a.answer.Body), Term: a.grant.Term}, false)
 				continue
 			}
 			c.settle(a)
@@ -158,7 +158,7 @@
 	if a.grant.Server == "" || a.leader == "" {
 		return
 	}
-	r := message.Report{Ticket: a.grant.Ticket, Result: a.answer.Result, Took: a.took, Term: a.grant.Term}
+	r := message.Report{Ticket: a.grant.Ticket, Result: a.answer.Result, Took: a.took, Bytes: len(a.answer.Body), Term: a.grant.Term}
 	if r.Ticket == 0 {
 		r.Server = a.grant.Server
 	}
--- a/pkg/leader/leader.go
+++ b/pkg/leader/leader.go
@@ -88,13 +88,20 @@
 func (l *Leader) Term() azuretiller.Term { return l.term }
 
 // SetResigned tells whether the other VMs are asked to choose a new leader; this one goes on deciding until there is one.
-func (l *Leader) SetResigned(resigned bool) { l.resigned = resigned }
+// It reports whether that is new.
+func (l *Leader) SetResigned(resigned bool) bool {
+	changed := resigned != l.resigned
+	l.resigned = resigned
+	return changed
+}
 
 // Announce tells all VMs which configuration there is.
 func (l *Leader) Announce() []Effect {
+	known := l.hello()
+	known.Known = true
 	var effects []Effect
 	for to := range l.members {
-		effects = append(effects, Send{To: to, Message: message.Envelope{Body: l.hello()}})
+		effects = append(effects, Send{To: to, Message: message.Envelope{Body: known}})
 	}
 	return effects
 }
@@ -184,6 +191,9 @@
 	var effects []Effect
 	m := l.members[from]
 	switch {
+	case m == nil && b.VM == "":
+		// The VM thinks that it is known: the answer asks for the whole heartbeat.
+		return []Effect{Send{To: from, Message: message.Envelope{Call: call, Body: l.hello()}}}
 	case m == nil:
 		m = &member{}
 		l.members[from] = m
@@ -195,9 +205,14 @@
 	case m.beat.Ready != b.Ready || m.beat.Leaving != b.Leaving:
 		l.changed = true
 	}
+	if b.VM == "" {
+		b.VM, b.Zone, b.Callers = m.beat.VM, m.beat.Zone, m.beat.Callers
+	}
 	m.beat = b
 	m.heard = now
-	effects = append(effects, Send{To: from, Message: message.Envelope{Call: call, Body: l.hello()}})
+	answer := l.hello()
+	answer.Known = true
+	effects = append(effects, Send{To: from, Message: message.Envelope{Call: call, Body: answer}})
 	if b.View != l.version && now.Sub(m.viewAt) > viewRepeat && !l.changed && l.version > 0 {
 		m.viewAt = now
 		effects = append(effects, Send{To: from, Message: message.Envelope{Body: l.view(now)}})
@@ -228,6 +243,9 @@
 	}
 	if a.Attempt <= 1 {
 		if wait, ok := l.meter.Spend(now, a.Team, l.limit(a.Team)); !ok {
+			for _, b := range a.Backends {
+				l.desk(b.Service).Turned(now)
+			}
 			return refuse(azuretiller.CodeRateExceeded, wait)
 		}
 	}
@@ -311,6 +329,7 @@
 	fields["chance"] = math.Round(d.Success*100) / 100
 	fields["busy"] = d.Busy
 	fields["queued"] = d.Queued
+	fields["crossed"] = d.Crossed
 	return Note{"placed", fields}
 }
 
@@ -340,7 +359,7 @@
 	default:
 		l.crashes.Released(g.fingerprint)
 	}
-	decisions, _ := l.desks[g.service].Finish(now, r.Ticket, r.Result, r.Took)
+	decisions, _ := l.desks[g.service].Finish(now, r.Ticket, r.Result, r.Took, r.Bytes)
 	if r.Result != message.Succeeded && r.Result != message.Cancelled {
 		chance, _ := l.desks[g.service].Success(now, g.server)
 		effects = append(effects, Note{"server doubted", log.Fields{
@@ -388,12 +407,27 @@
 		l.changed = false
 		l.version++
 		l.viewSent = now
-		view := l.view(now)
-		for from, m := range l.members {
-			m.viewAt = now
-			effects = append(effects, Send{To: from, Message: message.Envelope{Body: view}})
+		effects = append(effects, l.sendView(now)...)
+	}
+	return effects
+}
+
+// sendView sends the view to one VM of each zone, which passes it on; VMs that miss it get it after their next heartbeat.
+func (l *Leader) sendView(now time.Time) []Effect {
+	view := l.view(now)
+	view.Relay = true
+	heads := map[azuretiller.Zone]string{}
+	for from, m := range l.members {
+		m.viewAt = now
+		head, ok := heads[m.beat.Zone]
+		if !ok || from < head {
+			heads[m.beat.Zone] = from
 		}
 	}
+	effects := []Effect{Note{"view", log.Fields{"term": l.term, "version": l.version, "members": len(view.Members), "servers": len(view.Servers)}}}
+	for _, head := range heads {
+		effects = append(effects, Send{To: head, Message: message.Envelope{Body: view}})
+	}
 	return effects
 }
 
--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -1,7 +1,6 @@
 package member
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -37,6 +36,8 @@
 	at     time.Time
 	votes  map[string]bool
 	claims map[azuretiller.Term]bool
+	// known means that the leader knows what does not change about this VM.
+	known bool
 	// resigned means that the leader asked for a successor.
 	resigned bool
 }
@@ -132,17 +133,18 @@
 	if m.address == "" {
 		return nil
 	}
-	return []Effect{Send{To: m.address, Body: message.Envelope{Body: message.Beat{
-		VM:          m.self.ID,
+	b := message.Beat{
 		Incarnation: m.self.Incarnation,
-		Zone:        m.self.Zone,
-		Callers:     m.self.Caller,
 		Ready:       m.ready,
 		Leaving:     m.leaving,
 		Term:        m.term,
 		View:        m.viewVersion(),
 		Settings:    m.settings,
-	}}}}
+	}
+	if !m.known {
+		b.VM, b.Zone, b.Callers = m.self.ID, m.self.Zone, m.self.Caller
+	}
+	return []Effect{Send{To: m.address, Body: message.Envelope{Body: b}}}
 }
 
 func (m *Member) viewVersion() uint64 {
@@ -309,6 +311,7 @@
 	m.address = address
 	m.leading = false
 	m.resigned = false
+	m.known = false
 	m.step = following
 	m.expected = now.Add(helloTime)
 }
@@ -326,13 +329,31 @@
 	case message.Vote:
 		return m.vote(now, from, b)
 	case message.View:
-		if b.Term > m.view.Term || b.Term == m.view.Term && b.Version > m.view.Version {
-			m.view = b
-		}
+		return m.newView(b)
 	}
 	return nil
 }
 
+// newView takes a newer view and passes it on if it should.
+func (m *Member) newView(v message.View) []Effect {
+	if v.Term < m.view.Term || v.Term == m.view.Term && v.Version <= m.view.Version {
+		return nil
+	}
+	relay := v.Relay
+	v.Relay = false
+	m.view = v
+	if !relay {
+		return nil
+	}
+	var effects []Effect
+	for _, other := range v.Members {
+		if other.Zone == m.self.Zone && other.Peer != m.self.Peer {
+			effects = append(effects, Send{To: other.Peer, Body: message.Envelope{Body: v}})
+		}
+	}
+	return effects
+}
+
 // newer answers a heartbeat that this VM gets although it does not lead.
 func (m *Member) newer(now time.Time, term azuretiller.Term, from string, call uint64) []Effect {
 	if term > m.term && m.leading {
@@ -368,6 +389,12 @@
 		return effects
 	}
 	m.heard = now
+	if b.Known != m.known {
+		m.known = b.Known
+		if !m.known {
+			effects = append(effects, m.beat(now)...)
+		}
+	}
 	if m.step != reading && !b.Resigned {
 		m.step = following
 	}
@@ -389,23 +416,16 @@
 	return nil
 }
 
-// Peers returns the host:port of the other VMs, those of the same zone first.
-func (m *Member) Peers() []string {
-	members := slices.Clone(m.view.Members)
-	slices.SortStableFunc(members, func(a, b message.Member) int {
-		near := func(other message.Member) int {
-			if other.Zone == m.self.Zone {
-				return 0
-			}
-			return 1
-		}
-		return cmp.Compare(near(a), near(b))
-	})
-	var peers []string
-	for _, other := range members {
-		if other.Peer != m.self.Peer {
-			peers = append(peers, other.Peer)
+// Head returns the host:port of the VM of this zone that others of the zone ask first, empty when it is this one.
+func (m *Member) Head() string {
+	head := m.self.Peer
+	for _, other := range m.view.Members {
+		if other.Zone == m.self.Zone {
+			head = min(head, other.Peer)
 		}
 	}
-	return peers
+	if head == m.self.Peer {
+		return ""
+	}
+	return head
 }
--- a/pkg/message/message.go
+++ b/pkg/message/message.go
@@ -42,6 +42,8 @@
 	Settings uint64
 	// Resigned asks the VM to claim the next term.
 	Resigned bool
+	// Known means that later heartbeats may leave out what does not change while the VM runs.
+	Known bool
 }
 
 // Poll asks a VM whether it is in touch with the leader of a term.
@@ -96,6 +98,8 @@
 	Ticket TicketID
 	Result Result
 	Took   time.Duration
+	// Bytes is the size of the answer's body.
+	Bytes int
 	// Server is set in reports on attempts without a ticket.
 	Server azuretiller.InstanceID
 	Term   azuretiller.Term
@@ -112,6 +116,8 @@
 	Version uint64
 	Members []Member
 	Servers []Server
+	// Relay asks the VM to pass the view on to the others of its zone.
+	Relay bool
 }
 
 // Member is one VM of the fleet.
