Spread work over all servers only after several lost requests

Cause: at 6 requests a second one failure is a tenth of the requests, so that small services explored gray servers all the time.

--- a/pkg/desk/choose.go
+++ b/pkg/desk/choose.go
@@ -61,7 +61,7 @@
 
 // spread reports whether too few servers get work while many requests are not served, so that wrong beliefs might be the reason.
 func (d *Desk) spread(now time.Time) bool {
-	if d.recent.lost(now) < lostShare {
+	if lost, share := d.recent.lost(now); lost < leastLost || share < lostShare {
 		return false
 	}
 	open, used := 0, 0
--- a/pkg/desk/params.go
+++ b/pkg/desk/params.go
@@ -71,6 +71,8 @@
 	coverageWindow = 1600 * time.Millisecond
 	// lostShare is the share of requests that are not served from which work is spread over most servers.
 	lostShare = 0.06
+	// leastLost is the number of lost requests from which their share says anything.
+	leastLost = 5
 	// leastCoverage is the share of the servers that get work then.
 	leastCoverage = 0.85
 	// spreadBonus is what a server that had no work for long is preferred by then.
