--- a/pkg/desk/choose.go
+++ b/pkg/desk/choose.go
@@ -14,13 +14,15 @@
 	spread := d.spread(now)
 	var best *server
 	bestScore := math.Inf(-1)
-	betterBusy := false
+	busiest := 0.0
 	for _, s := range d.servers {
 		if slices.Contains(w.Tried, s.ID) || !s.reachableFrom(w.Key.From, now) {
 			continue
 		}
 		if s.room(now) <= 0 {
-			betterBusy = betterBusy || !s.Closed && !s.moved && s.belief.Success(now) > trusted
+			if !s.Closed && !s.moved {
+				busiest = max(busiest, s.belief.Success(now))
+			}
 			continue
 		}
 		if score := d.score(now, s, w, spread); score > bestScore {
@@ -30,7 +32,7 @@
 	if best == nil {
 		return nil
 	}
-	if betterBusy && !w.Idempotent && now.Before(w.better) && best.belief.Success(now) < doubtful {
+	if !w.Idempotent && !spread && now.Before(w.better) && best.belief.Success(now) < busiest-betterBy {
 		return nil
 	}
 	return best
--- a/pkg/desk/params.go
+++ b/pkg/desk/params.go
@@ -26,11 +26,9 @@
 	waitShare = 0.5
 	// deadlineShare is the same for the caller's deadline.
 	deadlineShare = 0.3
-	// betterWait is how long a request that may run only once waits for a server that is likely to answer.
-	betterWait = 250 * time.Millisecond
-	// doubtful is the chance of success below which waiting for another server is worth while, and trusted the chance of one to wait for.
-	doubtful = 0.5
-	trusted  = 0.8
+	// betterWait is how long a request that may run only once waits for a server that is more likely to answer, by betterBy.
+	betterWait = 200 * time.Millisecond
+	betterBy   = 0.08
 
 	// firstTypical is the service time in use until the first answer.
 	firstTypical = 200 * time.Millisecond
@@ -61,9 +59,9 @@
 	coldPenalty = 0.1
 
 	// loadPenalty prefers idle servers among equals.
-	loadPenalty = 0.04
+	loadPenalty = 0.02
 	// crowding is the weight of the requests that already run on a server that may fail.
-	crowding = 0.5
+	crowding = 0.25
 	// newcomerBonus brings a first request to a server that never had one.
 	newcomerBonus = 0.3
 
