--- a/pkg/desk/choose.go
+++ b/pkg/desk/choose.go
@@ -61,20 +61,25 @@
 	return score
 }
 
-// spread reports whether too few servers get work while many requests are not served, so that wrong beliefs might be the reason.
+// spread reports whether more servers must get work.
+//
+// The load it answers: when many requests are lost at once, as at the loss of a zone, or of all VMs with the requests that
+// they serve, it must not be said that most of the sound servers had been idle. So a busy service keeps most of them in
+// use, and leaves out those that it trusts least.
 func (d *Desk) spread(now time.Time) bool {
-	if lost, share := d.recent.lost(now); lost < leastLost || share < lostShare {
+	lost, share, total := d.recent.lost(now)
+	if total < busyService && (lost < leastLost || share < lostShare) {
 		return false
 	}
-	open, used := 0, 0
+	sound, used := 0, 0
 	for _, s := range d.servers {
-		if s.Closed || s.moved {
+		if s.Closed || s.moved || now.Sub(s.lastFailure) < soundAfter {
 			continue
 		}
-		open++
+		sound++
 		if now.Sub(s.lastStart) <= coverageWindow {
 			used++
 		}
 	}
-	return float64(used) < leastCoverage*float64(open)
+	return float64(used) < leastCoverage*float64(sound)
 }
--- a/pkg/desk/desk.go
+++ b/pkg/desk/desk.go
@@ -253,6 +253,9 @@
 // learn draws conclusions about the server and the usual service time.
 func (d *Desk) learn(now time.Time, a *attempt, result message.Result, took time.Duration) {
 	s := a.server
+	if result != message.Succeeded && result != message.Cancelled {
+		s.lastFailure = now
+	}
 	switch result {
 	case message.Succeeded:
 		if !a.overdue {
--- a/pkg/desk/params.go
+++ b/pkg/desk/params.go
@@ -65,14 +65,18 @@
 	// newcomerBonus brings a first request to a server that never had one.
 	newcomerBonus = 0.3
 
-	// coverageWindow is the span in which outcomes and servers in use are looked at.
-	coverageWindow = 1600 * time.Millisecond
+	// coverageWindow is the span in which outcomes and servers in use are looked at; the platform's operators look at 2 s.
+	coverageWindow = 1800 * time.Millisecond
+	// busyService is the number of requests in the window from which most servers are always kept in use.
+	busyService = 20
+	// soundAfter is how long after a failure a server counts as sound again.
+	soundAfter = 2 * time.Second
 	// lostShare is the share of requests that are not served from which work is spread over most servers.
 	lostShare = 0.06
 	// leastLost is the number of lost requests from which their share says anything.
 	leastLost = 5
-	// leastCoverage is the share of the servers that get work then.
-	leastCoverage = 0.85
+	// leastCoverage is the share of the sound servers that get work; the operators ask for 0.7.
+	leastCoverage = 0.75
 	// spreadBonus is what a server that had no work for long is preferred by then.
 	spreadBonus = 0.6
 )
--- a/pkg/desk/recent.go
+++ b/pkg/desk/recent.go
@@ -25,11 +25,11 @@
 	r.outcomes = r.outcomes[n:]
 }
 
-// lost returns the number and the share of requests that were not served.
-func (r *recent) lost(now time.Time) (int, float64) {
+// lost returns the number and the share of requests that were not served, and the number of all.
+func (r *recent) lost(now time.Time) (int, float64, int) {
 	r.forget(now)
 	if len(r.outcomes) == 0 {
-		return 0, 0
+		return 0, 0, 0
 	}
 	lost := 0
 	for _, o := range r.outcomes {
@@ -37,5 +37,5 @@
 			lost++
 		}
 	}
-	return lost, float64(lost) / float64(len(r.outcomes))
+	return lost, float64(lost) / float64(len(r.outcomes)), len(r.outcomes)
 }
--- a/pkg/desk/server.go
+++ b/pkg/desk/server.go
@@ -28,6 +28,8 @@
 	busy   int
 	// lastStart is the time of the newest start, zero before the first one.
 	lastStart time.Time
+	// lastFailure is the time of the newest failure, zero before the first one.
+	lastFailure time.Time
 	// coldStarts are the times of the starts within the last coldWindow.
 	coldStarts []time.Time
 	// blocked maps the VMs that could not connect to the time until which they are not sent here.
