Let leaders that were cut off find out about their successors

Cause: in randomised runs over fake links (pkg/member, TestRandomFaults) parts of the fleet kept leaders of different terms for ever: a leader heard only from those that followed it. Now leaders call the VMs they lost, answer older leaders, and read the leader record every 4 s, or every 0.5 s when few VMs are left; then they hand out only their share of the rates until the record confirms them.

--- a/pkg/edge/control.go
+++ b/pkg/edge/control.go
@@ -31,6 +31,9 @@
 	err    error
 }
 
+// confirmed is the leader record as a leader read it.
+type confirmed leaderRead
+
 type claimed struct {
 	term azuretiller.Term
 	err  error
@@ -106,6 +109,11 @@
 		e.takeFetched(ctx, now, v)
 	case leaderRead:
 		e.runMember(ctx, e.member.LeaderRead(now, v.record, v.next, v.err))
+	case confirmed:
+		e.runMember(ctx, e.member.Recorded(now, v.record))
+		if v.err == nil && e.leader != nil && v.record.Term == e.leader.Term() {
+			e.leader.Confirmed(now)
+		}
 	case claimed:
 		e.runMember(ctx, e.member.Claimed(now, v.term, v.err))
 	}
@@ -184,15 +192,9 @@
 				e.send(v.To, m)
 			}
 		case member.ReadLeader:
-			go func() {
-				record, next, err := e.registry.ReadLeader(ctx, 0, 0)
-				e.deliver(ctx, leaderRead{record, next, err})
-			}()
+			go e.readLeader(ctx)
 		case member.Claim:
-			go func() {
-				err := e.registry.ClaimLeader(ctx, v.At, v.Record)
-				e.deliver(ctx, claimed{v.Record.Term, err})
-			}()
+			go e.claim(ctx, v)
 		case member.Lead:
 			e.lead(v.Term)
 		case member.StepDown:
@@ -204,14 +206,36 @@
 	}
 }
 
+func (e *Edge) readLeader(ctx context.Context) {
+	limited, cancel := context.WithTimeout(ctx, leadTimeout)
+	defer cancel()
+	record, next, err := e.registry.ReadLeader(limited, 0, 0)
+	e.deliver(ctx, leaderRead{record, next, err})
+}
+
+// confirm reads the leader record for a leader that may be cut off from its successor.
+func (e *Edge) confirm() {
+	ctx, cancel := context.WithTimeout(e.running, leadTimeout)
+	defer cancel()
+	record, next, err := e.registry.ReadLeader(ctx, 0, 0)
+	e.deliver(e.running, confirmed{record, next, err})
+}
+
+func (e *Edge) claim(ctx context.Context, c member.Claim) {
+	limited, cancel := context.WithTimeout(ctx, leadTimeout)
+	defer cancel()
+	err := e.registry.ClaimLeader(limited, c.At, c.Record)
+	e.deliver(ctx, claimed{c.Record.Term, err})
+}
+
 func (e *Edge) lead(term azuretiller.Term) {
 	b := e.settings.Bounds
-	e.leader = leader.New(leader.Params{
+	e.leader = leader.New(e.common.Clock.Now(), leader.Params{
 		Desk:       desk.Params{RetryRatio: b.RetryRatio, RetrySlack: b.RetrySlack, Crossing: crossing, CrossingKB: crossingKB},
 		RateOver:   b.RateOver,
 		RateSlack:  b.RateSlack,
 		RateWindow: b.RateWindow,
-	}, e.check, term, e.self.ID, e.self.Peer)
+	}, e.check, term, e.self.ID, e.self.Peer, e.member.Peers())
 	e.leader.SetConfig(e.config)
 	e.feed.settingsAt, e.feed.serversAt = time.Time{}, time.Time{}
 	e.note("leading", map[string]any{"term": term, "version": e.revision()})
@@ -222,6 +246,8 @@
 		switch v := effect.(type) {
 		case leader.Send:
 			e.send(v.To, v.Message)
+		case leader.Confirm:
+			go e.confirm()
 		case leader.Note:
 			e.note(v.Name, v.Fields)
 		}
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -60,6 +60,9 @@
 	gateway *gateway.Gateway
 	solo    *solo.Solo
 
+	// running ends when the VM stops.
+	running context.Context
+
 	// What follows belongs to the control goroutine.
 	member  *member.Member
 	leader  *leader.Leader
@@ -114,6 +117,7 @@
 		return err
 	}
 	group, running := errgroup.WithContext(running)
+	e.running = running
 	for _, s := range servers {
 		group.Go(func() error { return s.run() })
 	}
--- a/pkg/edge/feed.go
+++ b/pkg/edge/feed.go
@@ -20,12 +20,14 @@
 	failureGap = 300 * time.Millisecond
 	// storeLost is how long a read may take before the leader asks for a successor that can read; the store answers in
 	// milliseconds, and a configuration must be in force within 2 s.
-	storeLost = 650 * time.Millisecond
+	storeLost = 500 * time.Millisecond
 	// isolatedAfter is the time out of touch after which the view of the fleet is too old for callers.
 	isolatedAfter = 2 * time.Second
 	// headRetry is the time between two questions to the VM of this zone that fetches first, and fetchRetry to the leader.
 	headRetry  = 60 * time.Millisecond
 	fetchRetry = 400 * time.Millisecond
+	// leadTimeout is how long a call about the lead may take: a candidate that the store turns away must not hold up the others.
+	leadTimeout = 500 * time.Millisecond
 )
 
 // feed is what the control goroutine knows of its reads.
--- a/pkg/leader/effect.go
+++ b/pkg/leader/effect.go
@@ -15,6 +15,9 @@
 	Message message.Envelope
 }
 
+// Confirm reads the leader record; the answer goes to Confirmed.
+type Confirm struct{}
+
 // Note writes a log line.
 type Note struct {
 	Name   string
@@ -23,3 +26,5 @@
 
 func (Send) effect() {}
 func (Note) effect() {}
+
+func (Confirm) effect() {}
--- a/pkg/leader/leader.go
+++ b/pkg/leader/leader.go
@@ -29,11 +29,20 @@
 
 	config  *config.Config
 	members map[string]*member
-	desks   map[azuretiller.ServiceID]*desk.Desk
-	tickets *desk.Tickets
-	meter   *meter.Meter
-	crashes *crash.Register
-	shares  map[azuretiller.RouteID]*share
+	// lost has the VMs that stopped sending heartbeats.
+	lost   map[string]time.Time
+	lostAt time.Time
+	// peak is the largest number of members since peakAt.
+	peak   int
+	peakAt time.Time
+	// confirmed is when the leader record last named this term, and asked when it was read.
+	confirmed time.Time
+	asked     time.Time
+	desks     map[azuretiller.ServiceID]*desk.Desk
+	tickets   *desk.Tickets
+	meter     *meter.Meter
+	crashes   *crash.Register
+	shares    map[azuretiller.RouteID]*share
 	// answered has the newest decision on each call, for questions that come twice.
 	answered map[desk.Key]*answered
 	requests map[message.TicketID]granted
@@ -64,21 +73,26 @@
 	until       time.Time
 }
 
-// New returns the leader of a term.
-func New(p Params, check *invariant.Checker, term azuretiller.Term, self azuretiller.VMID, address string) *Leader {
+// New returns the leader of a term; peers are the VMs that there were in the term before.
+func New(now time.Time, p Params, check *invariant.Checker, term azuretiller.Term, self azuretiller.VMID, address string, peers []string) *Leader {
 	l := &Leader{
-		params:   p,
-		check:    check,
-		term:     term,
-		self:     self,
-		address:  address,
-		members:  map[string]*member{},
-		desks:    map[azuretiller.ServiceID]*desk.Desk{},
-		tickets:  desk.NewTickets(0),
-		crashes:  crash.New(),
-		shares:   map[azuretiller.RouteID]*share{},
-		answered: map[desk.Key]*answered{},
-		requests: map[message.TicketID]granted{},
+		params:    p,
+		check:     check,
+		term:      term,
+		self:      self,
+		address:   address,
+		members:   map[string]*member{},
+		lost:      map[string]time.Time{},
+		confirmed: now,
+		desks:     map[azuretiller.ServiceID]*desk.Desk{},
+		tickets:   desk.NewTickets(0),
+		crashes:   crash.New(),
+		shares:    map[azuretiller.RouteID]*share{},
+		answered:  map[desk.Key]*answered{},
+		requests:  map[message.TicketID]granted{},
+	}
+	for _, peer := range peers {
+		l.lost[peer] = now
 	}
 	l.meter = meter.New(l.firstTokens)
 	return l
@@ -210,6 +224,7 @@
 	}
 	m.beat = b
 	m.heard = now
+	delete(l.lost, from)
 	answer := l.hello()
 	answer.Known = true
 	effects = append(effects, Send{To: from, Message: message.Envelope{Call: call, Body: answer}})
@@ -242,7 +257,7 @@
 		return refuse(azuretiller.CodeHeldBack, wait)
 	}
 	if a.Attempt <= 1 {
-		if wait, ok := l.meter.Spend(now, a.Team, l.limit(a.Team)); !ok {
+		if wait, ok := l.meter.Spend(now, a.Team, l.limit(now, a.Team)); !ok {
 			for _, b := range a.Backends {
 				l.desk(b.Service).Turned(now)
 			}
@@ -277,12 +292,61 @@
 	return append(effects, l.carryOut(now, service, decisions)...)
 }
 
-func (l *Leader) limit(team azuretiller.TeamID) meter.Limit {
+func (l *Leader) limit(now time.Time, team azuretiller.TeamID) meter.Limit {
 	if l.config == nil {
 		return meter.Limit{}
 	}
 	t := l.config.Teams[team]
-	return meter.Limit{Rate: t.Rate, Burst: t.Burst}
+	share := l.share(now)
+	return meter.Limit{
+		Rate:  azuretiller.Millitokens(share * float64(t.Rate)),
+		Burst: azuretiller.Millitokens(share * float64(t.Burst)),
+	}
+}
+
+// share is the part of the rates that this leader may hand out: all, unless it may be cut off from a newer leader.
+func (l *Leader) share(now time.Time) float64 {
+	if !l.few() || now.Sub(l.confirmed) < confirmedFor {
+		return 1
+	}
+	return float64(max(len(l.members), 1)) / float64(l.peak)
+}
+
+// few reports whether so few VMs follow that there may be a newer leader.
+func (l *Leader) few() bool {
+	return len(l.members) <= 1 || float64(len(l.members)) < fewShare*float64(l.peak)
+}
+
+// Confirmed notes that the leader record names this leader's term.
+func (l *Leader) Confirmed(now time.Time) { l.confirmed = now }
+
+// watch counts the members, asks for the leader record when there are few, and calls those that were lost.
+func (l *Leader) watch(now time.Time) []Effect {
+	if len(l.members) >= l.peak || now.Sub(l.peakAt) > peakMemory {
+		l.peak = len(l.members)
+		l.peakAt = now
+	}
+	var effects []Effect
+	gap := confirmAlways
+	if l.few() {
+		gap = confirmGap
+	}
+	if now.Sub(l.asked) >= gap {
+		l.asked = now
+		effects = append(effects, Confirm{})
+	}
+	if now.Sub(l.lostAt) < lostGap {
+		return effects
+	}
+	l.lostAt = now
+	for to, since := range l.lost {
+		if now.Sub(since) > lostMemory {
+			delete(l.lost, to)
+			continue
+		}
+		effects = append(effects, Send{To: to, Message: message.Envelope{Body: l.hello()}})
+	}
+	return effects
 }
 
 // carryOut turns decisions of a desk into messages.
@@ -388,11 +452,13 @@
 	for from, m := range l.members {
 		if now.Sub(m.heard) > silence {
 			delete(l.members, from)
+			l.lost[from] = now
 			l.changed = true
 			effects = append(effects, Note{"vm lost", log.Fields{"vm": m.beat.VM, "silent": now.Sub(m.heard), "term": l.term}})
 			effects = append(effects, l.forget(now, from)...)
 		}
 	}
+	effects = append(effects, l.watch(now)...)
 	for key, a := range l.answered {
 		if now.Sub(a.at) > answerMemory {
 			delete(l.answered, key)
--- a/pkg/leader/params.go
+++ b/pkg/leader/params.go
@@ -21,6 +21,19 @@
 	// viewGap bounds how often the view is sent to all VMs, and viewRepeat how soon to one that did not confirm it.
 	viewGap    = 150 * time.Millisecond
 	viewRepeat = 400 * time.Millisecond
+	// lostGap is the time between two messages to each VM that was lost, which learns of this leader or tells of a newer one,
+	// and lostMemory how long that goes on.
+	lostGap    = time.Second
+	lostMemory = time.Minute
+	// fewShare is the share of the largest number of VMs within peakMemory below which the leader may be cut off from a
+	// newer one: it hands out only its share of the rates until the leader record confirms its term.
+	fewShare   = 0.6
+	peakMemory = 10 * time.Second
+	// confirmGap is the time between reads of the leader record then, and confirmedFor how long an answer counts.
+	confirmGap   = 500 * time.Millisecond
+	confirmedFor = 1500 * time.Millisecond
+	// confirmAlways is the time between reads otherwise: two parts of the fleet that do not know of each other find out by it.
+	confirmAlways = 4 * time.Second
 	// answerMemory is how long decisions are kept for questions that come twice.
 	answerMemory = 3 * time.Second
 	// startShare is the share of the tolerance for a team's rate that a new leader begins with, since the one before may
--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -304,6 +304,24 @@
 	return append(effects, m.beat(now)...)
 }
 
+// Recorded takes a leader record that was read while this VM leads.
+func (m *Member) Recorded(now time.Time, r azuretiller.LeaderRecord) []Effect {
+	if !m.leading || r.Term <= m.term || r.VM == m.self.ID {
+		return nil
+	}
+	m.follow(now, r.Term, r.VM, r.Address)
+	return append([]Effect{StepDown{Newer: r.Term}}, m.beat(now)...)
+}
+
+// Peers returns the host:port of the VMs in the newest view.
+func (m *Member) Peers() []string {
+	var peers []string
+	for _, other := range m.view.Members {
+		peers = append(peers, other.Peer)
+	}
+	return peers
+}
+
 // follow takes a VM for the leader; it has helloTime to answer.
 func (m *Member) follow(now time.Time, term azuretiller.Term, leader azuretiller.VMID, address string) {
 	m.term = term
@@ -360,6 +378,10 @@
 		// Somebody follows a newer leader, whose address the record has.
 		return m.deposed(now, term)
 	}
+	if term > m.term && m.claims[term] {
+		// The claim was carried out after its answer was given up.
+		return m.lead(now, term)
+	}
 	if m.leading || m.term == 0 {
 		return nil
 	}
@@ -385,6 +407,10 @@
 			return append(effects, m.beat(now)...)
 		}
 	}
+	if b.Term < m.term && b.Leads {
+		// A leader that was cut off learns of its successor.
+		return append(effects, m.hello(0, from, m.leading, false))
+	}
 	if b.Term < m.term || !b.Leads || from != m.address {
 		return effects
 	}
--- a/pkg/member/params.go
+++ b/pkg/member/params.go
@@ -19,7 +19,7 @@
 	// The first candidates claim at intervals of firstStep, the others later, so that few VMs call the store.
 	candidates = 4
 	firstStep  = 25 * time.Millisecond
-	laterStart = 1200 * time.Millisecond
+	laterStart = 250 * time.Millisecond
 	laterStep  = 40 * time.Millisecond
 	// bootStep spreads VMs that start together and know no other.
 	bootStep  = 20 * time.Millisecond
