--- a/pkg/member/effect.go
+++ b/pkg/member/effect.go
@@ -49,12 +49,11 @@
 	return append(effects, Note{Name: name, Fields: fields})
 }
 
-func (m *Member) hello(call uint64, to string, leads, resigned bool) Effect {
+func (m *Member) hello(call uint64, to string, leads bool) Effect {
 	return Send{To: to, Body: message.Envelope{Call: call, Body: message.BeatAnswer{
-		Term:     m.term,
-		Leads:    leads,
-		Leader:   m.leader,
-		Address:  m.address,
-		Resigned: resigned,
+		Term:    m.term,
+		Leads:   leads,
+		Leader:  m.leader,
+		Address: m.address,
 	}}}
 }
--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -295,11 +295,11 @@
 	effects := []Effect{Lead{Term: term}}
 	for _, other := range m.view.Members {
 		if other.Peer != m.self.Peer {
-			effects = append(effects, m.hello(0, other.Peer, true, false))
+			effects = append(effects, m.hello(0, other.Peer, true))
 		}
 	}
 	for _, seed := range m.seeds {
-		effects = append(effects, m.hello(0, seed, true, false))
+		effects = append(effects, m.hello(0, seed, true))
 	}
 	return append(effects, m.beat(now)...)
 }
@@ -385,7 +385,7 @@
 	if m.leading || m.term == 0 {
 		return nil
 	}
-	return []Effect{m.hello(call, from, false, false)}
+	return []Effect{m.hello(call, from, false)}
 }
 
 func (m *Member) deposed(now time.Time, term azuretiller.Term) []Effect {
@@ -409,7 +409,7 @@
 	}
 	if b.Term < m.term && b.Leads {
 		// A leader that was cut off learns of its successor.
-		return append(effects, m.hello(0, from, m.leading, false))
+		return append(effects, m.hello(0, from, m.leading))
 	}
 	if b.Term < m.term || !b.Leads || from != m.address {
 		return effects
--- a/pkg/upstream/sender.go
+++ b/pkg/upstream/sender.go
@@ -93,7 +93,7 @@
 	return message.Cancelled
 }
 
-func (s *Sender) exchange(ctx context.Context, conn net.Conn, a Attempt) Answer {
+func (s *Sender) exchange(ctx context.Context, conn net.Conn, a Attempt) (answer Answer) {
 	// A server may answer before it has read a long body, so the body is written beside the reading.
 	go func() { _ = write(conn, a) }()
 	reader := bufio.NewReaderSize(conn, readBuffer)
@@ -104,7 +104,14 @@
 		}
 		return Answer{Result: message.Reset, Err: err}
 	}
-	answer := Answer{Status: response.StatusCode, Headers: response.Header, Length: response.ContentLength}
+	defer func() {
+		if answer.Rest == nil {
+			// The connection goes first, since closing the body reads what is left of it.
+			_ = conn.Close()
+			_ = response.Body.Close()
+		}
+	}()
+	answer = Answer{Status: response.StatusCode, Headers: response.Header, Length: response.ContentLength}
 	answer.Result, answer.Err = judge(response, a)
 	if answer.Result == message.Misdirected || answer.Result == message.Shed {
 		return answer
@@ -116,18 +123,23 @@
 	case err != nil:
 		return Answer{Result: message.Failed, Err: errors.Wrap(err, "read the body")}
 	case len(answer.Body) > wholeBytes:
-		answer.Rest = &rest{Reader: response.Body, conn: conn}
+		answer.Rest = &rest{ReadCloser: response.Body, conn: conn}
 	}
 	return answer
 }
 
+// rest is the part of a body that was not read yet.
 type rest struct {
-	io.Reader
+	io.ReadCloser
 	conn net.Conn
 }
 
 // Close ends the connection.
-func (r *rest) Close() error { return r.conn.Close() }
+func (r *rest) Close() error {
+	err := r.conn.Close()
+	_ = r.ReadCloser.Close()
+	return errors.Wrap(err, "close the connection to a backend server")
+}
 
 func write(conn net.Conn, a Attempt) error {
 	var head bytes.Buffer
