--- a/pkg/desk/desk.go
+++ b/pkg/desk/desk.go
@@ -1,6 +1,7 @@
 package desk
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -281,7 +282,8 @@
 
 // Tick ends waits that take too long and notices attempts that do.
 func (d *Desk) Tick(now time.Time) []Decision {
-	for ticket, a := range d.running {
+	for _, ticket := range slices.Sorted(maps.Keys(d.running)) {
+		a := d.running[ticket]
 		switch {
 		case now.After(a.Deadline.Add(ticketSlack)):
 			delete(d.running, ticket)
--- a/pkg/desk/params.go
+++ b/pkg/desk/params.go
@@ -33,7 +33,7 @@
 	// firstTypical is the service time in use until the first answer.
 	firstTypical = 200 * time.Millisecond
 	// secondChance is what a failure counts for a request that may be sent to another server.
-	secondChance = 0.35
+	secondChance = 0.7
 	// leastBudget is the share of the saved repeats below which second chances are not counted on.
 	leastBudget = 0.3
 
--- a/pkg/edge/control.go
+++ b/pkg/edge/control.go
@@ -60,7 +60,9 @@
 	e.member.SetReady(e.State().Ready(), e.revision())
 	e.runMember(ctx, e.member.Tick(now))
 	if e.leader != nil {
-		e.refreshLeader(now)
+		if now.Sub(e.feed.refreshedAt) >= refreshGap {
+			e.refreshLeader(now)
+		}
 		e.runLeader(e.leader.Tick(now))
 		if e.leader.SetResigned(e.leaving || e.lostStore(now)) {
 			e.runLeader(e.leader.Announce())
@@ -150,6 +152,7 @@
 // refreshLeader gives the leader the newest servers.
 func (e *Edge) refreshLeader(now time.Time) {
 	if e.leader != nil && e.world.ServersNext() > 0 {
+		e.feed.refreshedAt = now
 		e.runLeader(e.leader.SetServers(now, e.world.Desk(now, e.config)))
 	}
 }
--- a/pkg/edge/feed.go
+++ b/pkg/edge/feed.go
@@ -13,6 +13,8 @@
 	settingsWait = 2 * time.Second
 	// serversGap is the time between the leader's reads of the registry of servers.
 	serversGap = 400 * time.Millisecond
+	// refreshGap is the time after which servers that are no longer cold are noticed.
+	refreshGap = 200 * time.Millisecond
 	// aloneGap is the time between the reads of a VM that is out of touch, which begin after aloneAfter.
 	aloneGap   = 900 * time.Millisecond
 	aloneAfter = time.Second
@@ -35,6 +37,8 @@
 	settingsBusy, serversBusy, fetchBusy bool
 	// The times from which the next read may begin.
 	settingsAt, serversAt, fetchAt time.Time
+	// refreshedAt is when the leader's desks last got the servers.
+	refreshedAt time.Time
 	// failing is when reads began to fail, zero while they succeed, and asked when the read of servers that runs began.
 	failing, asked time.Time
 	// wanted is the newest configuration that another VM told of, and wantedFrom that VM.
--- /dev/null
+++ b/pkg/leader/ask_bench_test.go
@@ -0,0 +1,47 @@
+package leader
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/azuretiller/azuretiller"
+	"github.com/azuretiller/azuretiller/pkg/config"
+	"github.com/azuretiller/azuretiller/pkg/desk"
+	"github.com/azuretiller/azuretiller/pkg/invariant"
+	"github.com/azuretiller/azuretiller/pkg/message"
+)
+
+// BenchmarkAsk measures a decision with its report, without the datagrams.
+func BenchmarkAsk(b *testing.B) {
+	for _, size := range []int{8, 40, 150} {
+		b.Run(fmt.Sprint(size, " servers"), func(b *testing.B) {
+			now := time.Unix(1_000_000, 0)
+			l := New(now, Params{Desk: desk.Params{RetryRatio: 0.2, RetrySlack: 60}}, invariant.NewPanicking(), 1, "vm", "10.0.0.1:1", nil)
+			var servers []desk.Server
+			for i := range size {
+				servers = append(servers, desk.Server{ID: azuretiller.InstanceID(fmt.Sprint("i-", i)), Address: fmt.Sprint("10.1.0.", i, ":80"), Slots: 3})
+			}
+			l.SetServers(now, map[azuretiller.ServiceID][]desk.Server{"service": servers})
+			ask := message.Ask{
+				Request: "9c41d07be2a35f68", Route: "route", Team: "team", Deadline: time.Second, Objective: time.Second, Attempt: 1,
+				Backends: []config.Backend{{Service: "service", Weight: 1}},
+			}
+			call := uint64(0)
+			for b.Loop() {
+				now = now.Add(time.Millisecond)
+				call++
+				for _, e := range l.Receive(now, "10.0.0.2:1", message.Envelope{Call: call, Body: ask}) {
+					if s, ok := e.(Send); ok {
+						if g, ok := s.Message.Body.(message.Grant); ok && g.Ticket != 0 {
+							l.Receive(now, "10.0.0.2:1", message.Envelope{Call: call, Body: message.Report{Ticket: g.Ticket, Result: message.Succeeded, Took: 200 * time.Millisecond, Term: 1}})
+						}
+					}
+				}
+				if call%50 == 0 {
+					l.Tick(now)
+				}
+			}
+		})
+	}
+}
