--- /dev/null
+++ b/cmd/standin/pkg/keyedstore/store.go
@@ -0,0 +1,237 @@
+package keyedstore
+
+import (
+	"encoding/base64"
+	"encoding/binary"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+)
+
+// Store keeps topics of keyed records in memory and answers the store's calls.
+type Store struct {
+	mu     sync.Mutex
+	topics map[string]*topic
+	// changed is closed and replaced at each append.
+	changed chan struct{}
+	faults  Faults
+	calls   int
+}
+
+// Faults are what goes wrong with the store's answers.
+type Faults struct {
+	// Refused callers, by remote host, get 503; All refuses every caller.
+	Refused map[string]bool
+	All     bool
+	// LoseAppends carries appends out and closes the connection without an answer.
+	LoseAppends bool
+	// Delay is added to each answer.
+	Delay time.Duration
+}
+
+type topic struct {
+	records [][]byte
+	// first is the offset of the oldest record that is kept.
+	first int
+}
+
+// New returns an empty store.
+func New() *Store { return &Store{topics: map[string]*topic{}, changed: make(chan struct{})} }
+
+// SetFaults replaces what goes wrong.
+func (s *Store) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+// Calls returns the number of calls so far.
+func (s *Store) Calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// Put writes the newest record of a key; a nil value drops the key.
+func (s *Store) Put(topic, key string, value []byte) {
+	record := append([]byte{byte(len(key))}, key...)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.add(topic, [][]byte{append(record, value...)})
+}
+
+// Forget deletes the history of a topic; the newest record of each key stays.
+func (s *Store) Forget(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.topic(name)
+	t.first = len(t.records)
+}
+
+func (s *Store) topic(name string) *topic {
+	t := s.topics[name]
+	if t == nil {
+		t = &topic{}
+		s.topics[name] = t
+	}
+	return t
+}
+
+func (s *Store) add(name string, records [][]byte) int {
+	t := s.topic(name)
+	offset := len(t.records)
+	t.records = append(t.records, records...)
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return offset
+}
+
+// Handler answers the calls.
+func (s *Store) Handler() http.Handler {
+	r := chi.NewRouter()
+	r.Use(s.withFaults)
+	r.Get("/-/log-newest", s.newest)
+	r.Get("/-/log-read", s.read)
+	r.Post("/-/log-append", s.append)
+	return r
+}
+
+func (s *Store) withFaults(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		s.calls++
+		faults := s.faults
+		s.mu.Unlock()
+		time.Sleep(faults.Delay)
+		if faults.All || faults.Refused[r.Header.Get("User-Agent")] {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (s *Store) newest(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	t := s.topic(r.URL.Query().Get("topic"))
+	values := map[string][]byte{}
+	var order []string
+	offsets := map[string]int{}
+	for offset, record := range t.records {
+		key, value, ok := split(record)
+		if !ok {
+			continue
+		}
+		if _, known := values[key]; !known {
+			order = append(order, key)
+		}
+		values[key], offsets[key] = value, offset
+	}
+	end := len(t.records)
+	s.mu.Unlock()
+	type item struct {
+		Key    string `json:"key"`
+		Value  string `json:"value"`
+		Offset int    `json:"offset"`
+	}
+	items := []item{}
+	for _, key := range order {
+		if len(values[key]) > 0 {
+			items = append(items, item{key, base64.StdEncoding.EncodeToString(values[key]), offsets[key]})
+		}
+	}
+	writeJSON(w, http.StatusOK, map[string]any{"items": items, "more": false, "end": end})
+}
+
+func split(record []byte) (string, []byte, bool) {
+	if len(record) == 0 || len(record) < 1+int(record[0]) {
+		return "", nil, false
+	}
+	n := 1 + int(record[0])
+	return string(record[1:n]), record[n:], true
+}
+
+func (s *Store) read(w http.ResponseWriter, r *http.Request) {
+	from, err := strconv.Atoi(r.URL.Query().Get("from"))
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	wait, _ := strconv.Atoi(r.URL.Query().Get("waitMs"))
+	deadline := time.After(time.Duration(wait) * time.Millisecond)
+	for {
+		s.mu.Lock()
+		t := s.topic(r.URL.Query().Get("topic"))
+		end, first, changed := len(t.records), t.first, s.changed
+		records := t.records[min(from, end):]
+		s.mu.Unlock()
+		if from < first {
+			writeJSON(w, http.StatusGone, map[string]any{"first": first})
+			return
+		}
+		if len(records) > 0 || wait == 0 {
+			_, _ = w.Write(encode(end, first, records))
+			return
+		}
+		select {
+		case <-changed:
+		case <-deadline:
+			wait = 0
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func encode(end, first int, records [][]byte) []byte {
+	data := binary.BigEndian.AppendUint64(nil, uint64(end))
+	data = binary.BigEndian.AppendUint64(data, uint64(first))
+	for _, record := range records {
+		data = binary.BigEndian.AppendUint32(data, uint32(len(record)))
+		data = append(data, record...)
+	}
+	return data
+}
+
+func (s *Store) append(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	var records [][]byte
+	for rest := body; len(rest) >= 4; {
+		size := int(binary.BigEndian.Uint32(rest))
+		if len(rest) < 4+size {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		records = append(records, rest[4:4+size])
+		rest = rest[4+size:]
+	}
+	s.mu.Lock()
+	name := r.URL.Query().Get("topic")
+	end := len(s.topic(name).records)
+	if at := r.URL.Query().Get("at"); at != "" && at != strconv.Itoa(end) {
+		s.mu.Unlock()
+		writeJSON(w, http.StatusPreconditionFailed, map[string]any{"end": end})
+		return
+	}
+	offset := s.add(name, records)
+	lose := s.faults.LoseAppends
+	s.mu.Unlock()
+	if lose {
+		panic(http.ErrAbortHandler)
+	}
+	writeJSON(w, http.StatusOK, map[string]any{"offset": offset, "end": offset + len(records)})
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
