Let strong VMs lead, and keep the leader cheap when requests wait

Heartbeats now go before requests, old questions are dropped, at most 8 waiting requests are looked at in vain.

--- a/pkg/desk/desk.go
+++ b/pkg/desk/desk.go
@@ -185,14 +185,25 @@
 	return d.queues[i].waiting
 }
 
+func (d *Desk) anyRoom(now time.Time) bool {
+	return slices.ContainsFunc(d.servers, func(s *server) bool { return s.room(now) > 0 })
+}
+
 // pump gives waiting requests to servers, the most urgent first.
 func (d *Desk) pump(now time.Time) []Decision {
 	var decisions []Decision
+	misses := 0
 	for _, q := range d.queues {
-		for q.waiting.Len() > 0 {
+		for q.waiting.Len() > 0 && misses < mostMisses && d.anyRoom(now) {
 			var chosen *server
 			w, ok := q.waiting.Pop(func(w *waiter) (float64, bool) {
+				if misses >= mostMisses {
+					return 0, false
+				}
 				chosen = d.choose(now, w)
+				if chosen == nil {
+					misses++
+				}
 				return d.usual(w.Route).Seconds(), chosen != nil
 			})
 			if !ok {
--- a/pkg/desk/params.go
+++ b/pkg/desk/params.go
@@ -30,6 +30,9 @@
 	betterWait = 200 * time.Millisecond
 	betterBy   = 0.08
 
+	// mostMisses bounds the waiting requests that are looked at in vain at each event, so that a long queue stays cheap.
+	mostMisses = 8
+
 	// firstTypical is the service time in use until the first answer.
 	firstTypical = 200 * time.Millisecond
 	// secondChance is what a failure counts for a request that may be sent to another server.
--- a/pkg/edge/control.go
+++ b/pkg/edge/control.go
@@ -43,9 +43,17 @@
 func (e *Edge) control(ctx context.Context, reload <-chan struct{}) {
 	ticks := e.timer.Subscribe(tickGap)
 	for {
+		select {
+		case event := <-e.urgent:
+			e.handle(ctx, e.common.Clock.Now(), event)
+			continue
+		default:
+		}
 		select {
 		case <-ctx.Done():
 			return
+		case event := <-e.urgent:
+			e.handle(ctx, e.common.Clock.Now(), event)
 		case <-reload:
 			e.note("reload", map[string]any{"vm": e.self.ID})
 		case <-ticks:
@@ -64,7 +72,7 @@
 			e.refreshLeader(now)
 		}
 		e.runLeader(e.leader.Tick(now))
-		if e.leader.SetResigned(e.leaving || e.lostStore(now)) {
+		if e.leader.SetResigned(e.leaving || e.lostStore(now) || e.leader.TooWeak(now)) {
 			e.runLeader(e.leader.Announce())
 		}
 	}
@@ -167,7 +175,15 @@
 			}
 		}
 		e.runMember(ctx, e.member.Receive(now, in.From, in.Call, in.Body))
-	case message.Ask, message.Report:
+	case message.Ask:
+		if now.Sub(in.At) > askAge {
+			e.common.Metrics.Counter("asks_expired").Inc(1)
+			return
+		}
+		if e.leader != nil {
+			e.runLeader(e.leader.Receive(now, in.From, in.Envelope))
+		}
+	case message.Report:
 		if e.leader != nil {
 			e.runLeader(e.leader.Receive(now, in.From, in.Envelope))
 		}
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -42,6 +42,8 @@
 	lingerShare = 0.7
 	// stopShare is the share of the grace time after which running requests are given up.
 	stopShare = 0.95
+	// askAge is the age from which a question is not answered any more: the VM that asked decides alone by then.
+	askAge    = 200 * time.Millisecond
 	drainPoll = 20 * time.Millisecond
 )
 
@@ -53,8 +55,10 @@
 	self     azuretiller.VM
 	check    *invariant.Checker
 
-	timer   *timer.Service
-	inbox   chan any
+	timer *timer.Service
+	inbox chan any
+	// urgent has the messages about the lead, which must not wait behind requests.
+	urgent  chan any
 	state   atomic.Pointer[gateway.State]
 	link    *link.Link
 	gateway *gateway.Gateway
@@ -87,10 +91,12 @@
 			Zone:        s.Zone,
 			Caller:      s.Callers,
 			Peer:        s.Peer,
+			Power:       s.Power,
 		},
-		timer: timer.New(timerStep),
-		inbox: make(chan any, inboxSize),
-		world: world.New(),
+		timer:  timer.New(timerStep),
+		inbox:  make(chan any, inboxSize),
+		urgent: make(chan any, inboxSize),
+		world:  world.New(),
 	}
 	e.check = invariant.New(func(text string) { c.Log.WithField("message", text).Error("invariant violated") })
 	e.member = member.New(now, e.self, s.Seeds)
@@ -110,7 +116,7 @@
 	if err != nil {
 		return err
 	}
-	e.link = link.New(socket, uint64(e.self.Incarnation), func(in link.Incoming) { e.post(in) })
+	e.link = link.New(socket, uint64(e.self.Incarnation), e.incoming)
 	e.gateway = gateway.New(e.common, e.State, e.link, upstream.New(), e.solo)
 	servers, err := e.servers(running)
 	if err != nil {
@@ -209,6 +215,20 @@
 	}
 }
 
+// incoming hands a message to the control goroutine.
+func (e *Edge) incoming(in link.Incoming) {
+	switch in.Body.(type) {
+	case message.Ask, message.Report, message.Grant:
+		e.post(in)
+	default:
+		select {
+		case e.urgent <- in:
+		default:
+			e.common.Metrics.Counter("events_dropped").Inc(1)
+		}
+	}
+}
+
 // post hands an event to the control goroutine, or drops it when too many wait.
 func (e *Edge) post(event any) {
 	select {
--- a/pkg/fleetwire/codec.go
+++ b/pkg/fleetwire/codec.go
@@ -25,6 +25,7 @@
 			Term:        uint64(b.Term),
 			View:        b.View,
 			Settings:    b.Settings,
+			Power:       uint32(b.Power),
 		}}
 	case message.BeatAnswer:
 		d.Body = &fleetpb.Datagram_BeatAnswer{BeatAnswer: &fleetpb.BeatAnswer{
@@ -82,6 +83,7 @@
 			Term:        azuretiller.Term(b.Beat.GetTerm()),
 			View:        b.Beat.GetView(),
 			Settings:    b.Beat.GetSettings(),
+			Power:       int(b.Beat.GetPower()),
 		}
 	case *fleetpb.Datagram_BeatAnswer:
 		e.Body = message.BeatAnswer{
--- a/pkg/fleetwire/view.go
+++ b/pkg/fleetwire/view.go
@@ -15,6 +15,7 @@
 			Callers: m.Callers,
 			Peer:    m.Peer,
 			Ready:   m.Ready,
+			Power:   uint32(m.Power),
 		})
 	}
 	for _, s := range v.Servers {
@@ -40,6 +41,7 @@
 			Callers: m.GetCallers(),
 			Peer:    m.GetPeer(),
 			Ready:   m.GetReady(),
+			Power:   int(m.GetPower()),
 		})
 	}
 	for _, s := range p.GetServers() {
--- a/pkg/leader/leader.go
+++ b/pkg/leader/leader.go
@@ -56,6 +56,7 @@
 type member struct {
 	beat   message.Beat
 	heard  time.Time
+	since  time.Time
 	viewAt time.Time
 }
 
@@ -109,6 +110,20 @@
 	return changed
 }
 
+// TooWeak reports whether a VM with much more processor time could lead, and has been there for some time.
+func (l *Leader) TooWeak(now time.Time) bool {
+	own, most := 0, 0
+	for _, m := range l.members {
+		if m.beat.VM == l.self {
+			own = m.beat.Power
+		}
+		if m.beat.Ready && !m.beat.Leaving && now.Sub(m.since) > steadyFor {
+			most = max(most, m.beat.Power)
+		}
+	}
+	return own > 0 && most >= strongerBy*own
+}
+
 // Announce tells all VMs which configuration there is.
 func (l *Leader) Announce() []Effect {
 	known := l.hello()
@@ -209,7 +224,7 @@
 		// The VM thinks that it is known: the answer asks for the whole heartbeat.
 		return []Effect{Send{To: from, Message: message.Envelope{Call: call, Body: l.hello()}}}
 	case m == nil:
-		m = &member{}
+		m = &member{since: now}
 		l.members[from] = m
 		l.changed = true
 		effects = append(effects, Note{"vm joined", log.Fields{"vm": b.VM, "zone": b.Zone, "term": l.term}})
@@ -220,7 +235,7 @@
 		l.changed = true
 	}
 	if b.VM == "" {
-		b.VM, b.Zone, b.Callers = m.beat.VM, m.beat.Zone, m.beat.Callers
+		b.VM, b.Zone, b.Callers, b.Power = m.beat.VM, m.beat.Zone, m.beat.Callers, m.beat.Power
 	}
 	m.beat = b
 	m.heard = now
@@ -511,6 +526,7 @@
 			Callers: m.beat.Callers,
 			Peer:    from,
 			Ready:   m.beat.Ready && !m.beat.Leaving,
+			Power:   m.beat.Power,
 		})
 	}
 	slices.SortFunc(v.Members, func(a, b message.Member) int { return cmp.Compare(a.VM, b.VM) })
--- a/pkg/link/link.go
+++ b/pkg/link/link.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -22,6 +23,8 @@
 // Incoming is a message with the host:port it came from.
 type Incoming struct {
 	From string
+	// At is when the message was received.
+	At time.Time
 	message.Envelope
 }
 
@@ -63,7 +66,7 @@
 		if err != nil {
 			continue
 		}
-		l.deliver(Incoming{From: netip.AddrPortFrom(from.Addr().Unmap(), from.Port()).String(), Envelope: e})
+		l.deliver(Incoming{At: time.Now(), From: netip.AddrPortFrom(from.Addr().Unmap(), from.Port()).String(), Envelope: e})
 	}
 }
 
--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -60,10 +60,19 @@
 func New(now time.Time, self azuretiller.VM, seeds []string) *Member {
 	m := &Member{self: self, seeds: seeds, claims: map[azuretiller.Term]bool{}}
 	m.step = delaying
-	m.at = now.Add(time.Duration(xxhash.Sum64String(string(self.ID))%bootSlots) * bootStep)
+	m.at = now.Add(bootDelay(self))
 	return m
 }
 
+// bootDelay lets VMs with much processor time claim the lead first when all start together.
+func bootDelay(self azuretiller.VM) time.Duration {
+	jitter := time.Duration(xxhash.Sum64String(string(self.ID))%bootSlots) * bootStep
+	if self.Power <= 0 {
+		return jitter
+	}
+	return jitter + min(bootWork*100/time.Duration(self.Power), longestBoot)
+}
+
 // Term returns the newest term that the VM knows.
 func (m *Member) Term() azuretiller.Term { return m.term }
 
@@ -142,7 +151,7 @@
 		Settings:    m.settings,
 	}
 	if !m.known {
-		b.VM, b.Zone, b.Callers = m.self.ID, m.self.Zone, m.self.Caller
+		b.VM, b.Zone, b.Callers, b.Power = m.self.ID, m.self.Zone, m.self.Caller, m.self.Power
 	}
 	return []Effect{Send{To: m.address, Body: message.Envelope{Body: b}}}
 }
@@ -165,7 +174,8 @@
 	m.at = now.Add(laterStart + time.Duration(rank)*laterStep)
 }
 
-// rank is the place of this VM in the order of candidates for the next term; the leader is not among them.
+// rank is the place of this VM in the order of candidates for the next term, those with most processor time first; the leader
+// is not among them.
 func (m *Member) rank() int {
 	order := func(id azuretiller.VMID) uint64 {
 		d := xxhash.NewWithSeed(uint64(m.term))
@@ -175,7 +185,10 @@
 	own := order(m.self.ID)
 	rank := 0
 	for _, other := range m.view.Members {
-		if other.VM != m.leader && other.VM != m.self.ID && other.Ready && order(other.VM) < own {
+		if other.VM == m.leader || other.VM == m.self.ID || !other.Ready {
+			continue
+		}
+		if other.Power > m.self.Power || other.Power == m.self.Power && order(other.VM) < own {
 			rank++
 		}
 	}
--- a/pkg/message/message.go
+++ b/pkg/message/message.go
@@ -26,7 +26,9 @@
 	Addresses string
 	Ready     bool
 	Leaving   bool
-	Term      azuretiller.Term
+	// Power is the processor time of the VM, in hundredths of a core.
+	Power int
+	Term  azuretiller.Term
 	// View and Settings are the newest versions that the VM has.
 	View     uint64
 	Settings uint64
@@ -127,6 +129,7 @@
 	Callers string
 	Peer    string
 	Ready   bool
+	Power   int
 }
 
 // Server is one backend server as VMs need to know it when no leader answers.
--- a/vm.go
+++ b/vm.go
@@ -9,4 +9,6 @@
 	Peer        string
 	Operator    string
 	Leaving     bool
+	// Power is the processor time the VM may use, in hundredths of a core.
+	Power int
 }
