--- a/pkg/desk/choose.go
+++ b/pkg/desk/choose.go
@@ -32,7 +32,7 @@
 	if best == nil {
 		return nil
 	}
-	if !w.Idempotent && !spread && now.Before(w.better) && best.belief.Success(now) < busiest-betterBy {
+	if !w.Idempotent && !spread && d.waiting() < mostMisses && now.Before(w.better) && best.belief.Success(now) < busiest-betterBy {
 		return nil
 	}
 	return best
--- a/pkg/desk/desk.go
+++ b/pkg/desk/desk.go
@@ -148,11 +148,16 @@
 
 // drainTime estimates how long the running and waiting work takes.
 func (d *Desk) drainTime() time.Duration {
-	work := len(d.running)
+	work := len(d.running) + d.waiting()
+	return max(d.serviceTime()*time.Duration(work)/time.Duration(max(d.slots(), 1)), d.serviceTime()/2)
+}
+
+func (d *Desk) waiting() int {
+	n := 0
 	for _, q := range d.queues {
-		work += q.waiting.Len()
+		n += q.waiting.Len()
 	}
-	return max(d.serviceTime()*time.Duration(work)/time.Duration(max(d.slots(), 1)), d.serviceTime()/2)
+	return n
 }
 
 // serviceTime is the mean over the routes.
