--- a/cmd/standin/pkg/fleet/path_test.go
+++ b/cmd/standin/pkg/fleet/path_test.go
@@ -288,3 +288,13 @@
 	require.NoError(t, answer.Err)
 	assert.Equal(t, 200, answer.Status)
 }
+
+func TestTimeoutEndsTheRequest(t *testing.T) {
+	ctx, f := startFleet(t, 2, 1)
+	f.setAll(worker.Healthy, patience)
+	answer := f.Request(ctx, 0, "POST", "/orders/1", "slow", Key, "b")
+	require.NoError(t, answer.Err)
+	assert.Equal(t, 504, answer.Status)
+	assert.Equal(t, 1, f.runs("slow"))
+	eventually(t, "the server hears of it", func() bool { return f.Workers[0].Left() == 1 })
+}
