--- a/cmd/standin/pkg/fleet/fleet.go
+++ b/cmd/standin/pkg/fleet/fleet.go
@@ -27,9 +27,11 @@
 const (
 	// heartbeat is the time between the entries of a backend server.
 	heartbeat = 500 * time.Millisecond
-	// Host is the name that callers use, Key the key of the team Team.
+	// Host is the name that callers use.
 	Host = "gateway.example"
-	Key  = "key-of-team-a"
+	// Key is the key of the team Team.
+	Key = "key-of-team-a"
+	// Team is the team of the callers.
 	Team = "team-a"
 	// grace is the time from the signal to stop to the end.
 	grace = time.Second
--- a/pkg/belief/model.go
+++ b/pkg/belief/model.go
@@ -12,6 +12,8 @@
 	forgetting = 0.997
 	// successAge is how long a chance is used again: what is known fades over seconds.
 	successAge = 5 * time.Millisecond
+	// rates is the number of guesses at how fast states are forgotten.
+	rates = 4
 	// leastWeight keeps each hypothesis within reach of new evidence.
 	leastWeight = 1e-6
 )
@@ -27,7 +29,7 @@
 }
 
 // mixings are the rates at which a server's state is forgotten, in 1/s: the rate of turning gray plus that of recovering.
-func mixings() [4]float64 { return [4]float64{0.1, 0.25, 0.6, 1.5} }
+func mixings() [rates]float64 { return [rates]float64{0.1, 0.25, 0.6, 1.5} }
 
 // Model learns how the servers of one service turn gray and recover; several hypotheses are weighed by how well each
 // foretold the results so far.
@@ -42,7 +44,7 @@
 func NewModel() *Model {
 	m := &Model{}
 	for _, gray := range []float64{0.02, 0.08, 0.18, 0.3, 0.45} {
-		for mixing := range mixings() {
+		for mixing := range rates {
 			for _, failures := range []float64{0.4, 0.75, 0.97} {
 				m.hypotheses = append(m.hypotheses, hypothesis{gray: gray, mixing: mixing, failures: failures})
 			}
