Answer the VMs that wait for a leader as soon as there is one

The leader now greets those that called it, and requests wait up to 0.3 s for a leader that is expected. TestAllVMsGoneAtOnce asks for 0.3 s and failed first.

--- a/pkg/edge/control.go
+++ b/pkg/edge/control.go
@@ -292,9 +292,11 @@
 		Leader:   address,
 		InTouch:  e.member.InTouch(now),
 		Isolated: e.member.OutFor(now) > isolatedAfter,
-		Leaving:  e.leaving,
-		Members:  view.Members,
-		Servers:  view.Servers,
+		// A VM that has not read a configuration yet waits for it as for a leader.
+		Unsettled: e.member.OutFor(now) < unsettledFor,
+		Leaving:   e.leaving,
+		Members:   view.Members,
+		Servers:   view.Servers,
 	}
 	if !s.InTouch && e.world.ServersNext() > 0 && e.leader == nil && e.member.OutFor(now) > aloneAfter {
 		s.Servers = e.ownServers(now)
--- a/pkg/edge/feed.go
+++ b/pkg/edge/feed.go
@@ -25,6 +25,8 @@
 	storeLost = 500 * time.Millisecond
 	// isolatedAfter is the time out of touch after which the view of the fleet is too old for callers.
 	isolatedAfter = 2 * time.Second
+	// unsettledFor is the time after the start or the loss of the leader in which requests wait for one.
+	unsettledFor = 1500 * time.Millisecond
 	// headRetry is the time between two questions to the VM of this zone that fetches first, and fetchRetry to the leader.
 	headRetry  = 60 * time.Millisecond
 	fetchRetry = 400 * time.Millisecond
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -52,6 +53,24 @@
 	}
 }
 
+// settleIn waits a little for the first configuration or a new leader.
+//
+// The load it answers: all VMs are killed and come back together, or the leader is lost. Either is over within tenths of a
+// second, while a refusal would cost the caller the whole request.
+func (c *call) settleIn(ctx context.Context) {
+	until := c.started.Add(leaderWait)
+	for !c.settled() && c.state.Unsettled && c.gateway.common.Clock.Now().Before(until) {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(leaderPoll):
+		}
+		c.state = c.gateway.current()
+	}
+}
+
+func (c *call) settled() bool { return c.state.Config != nil && c.state.InTouch }
+
 // prepare finds the route and the team, and reads the body.
 func (c *call) prepare() azuretiller.Code {
 	if c.state.Config == nil {
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -52,6 +52,7 @@
 	defer g.running.Add(-1)
 	c := newCall(g, w, r)
 	defer c.log()
+	c.settleIn(r.Context())
 	if code := c.prepare(); code != azuretiller.CodeOK {
 		c.refuse(code, notReadyRetry)
 		return
--- a/pkg/gateway/params.go
+++ b/pkg/gateway/params.go
@@ -7,6 +7,10 @@
 	// An answer takes a few milliseconds inside a region.
 	askRepeat   = 70 * time.Millisecond
 	askPatience = 230 * time.Millisecond
+	// leaderWait is how long a request waits for a configuration and a leader that are expected soon, and leaderPoll the time
+	// between two looks.
+	leaderWait = 300 * time.Millisecond
+	leaderPoll = 10 * time.Millisecond
 	// reportRepeat and reportTries do the same for results.
 	reportRepeat = 150 * time.Millisecond
 	reportTries  = 4
--- a/pkg/gateway/state.go
+++ b/pkg/gateway/state.go
@@ -16,6 +16,8 @@
 	// Leader is the host:port of the leader, and InTouch tells whether it answered lately.
 	Leader  string
 	InTouch bool
+	// Unsettled means that the VM just started or just lost the leader, so that it can expect one soon.
+	Unsettled bool
 	// Isolated means that the VM has been out of touch for so long that the view may name VMs that are down.
 	Isolated bool
 	Leaving  bool
--- a/pkg/member/fleet_test.go
+++ b/pkg/member/fleet_test.go
@@ -268,8 +268,8 @@
 	for _, v := range f.vms {
 		f.boot(v)
 	}
-	f.schedule.Run(time.Second)
-	f.settled("one second after all came back")
+	f.schedule.Run(300 * time.Millisecond)
+	f.settled("0.3 s after all came back")
 }
 
 // TestLeaderTurnedAwayByStore replays a store that does not answer the leader and the first candidates: another VM must
--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -25,6 +25,8 @@
 	leader  azuretiller.VMID
 	address string
 	leading bool
+	// started is when the VM started.
+	started time.Time
 	// heard is when the leader of the term answered last, and expected when it should have at the latest.
 	heard    time.Time
 	expected time.Time
@@ -38,6 +40,8 @@
 	claims map[azuretiller.Term]bool
 	// known means that the leader knows what does not change about this VM.
 	known bool
+	// asking has the VMs that take this one for the leader, although it does not lead, with the time of their last heartbeat.
+	asking map[string]time.Time
 	// resigned means that the leader asked for a successor.
 	resigned bool
 }
@@ -58,7 +62,7 @@
 
 // New returns a member that knows no leader.
 func New(now time.Time, self azuretiller.VM, seeds []string) *Member {
-	m := &Member{self: self, seeds: seeds, claims: map[azuretiller.Term]bool{}}
+	m := &Member{self: self, seeds: seeds, started: now, claims: map[azuretiller.Term]bool{}, asking: map[string]time.Time{}}
 	m.step = delaying
 	m.at = now.Add(bootDelay(self))
 	return m
@@ -90,11 +94,14 @@
 	return m.leading || m.term > 0 && !m.heard.IsZero() && now.Sub(m.heard) < lostAfter
 }
 
-// OutFor returns how long the VM has been out of touch.
+// OutFor returns how long the VM has been out of touch, at most since it started.
 func (m *Member) OutFor(now time.Time) time.Duration {
 	if m.InTouch(now) {
 		return 0
 	}
+	if m.heard.Before(m.started) {
+		return now.Sub(m.started)
+	}
 	return now.Sub(m.heard)
 }
 
@@ -314,6 +321,12 @@
 	for _, seed := range m.seeds {
 		effects = append(effects, m.hello(0, seed, true))
 	}
+	for from, at := range m.asking {
+		if now.Sub(at) < helloTime {
+			effects = append(effects, m.hello(0, from, true))
+		}
+	}
+	clear(m.asking)
 	return append(effects, m.beat(now)...)
 }
 
@@ -395,7 +408,11 @@
 		// The claim was carried out after its answer was given up.
 		return m.lead(now, term)
 	}
-	if m.leading || m.term == 0 {
+	if m.leading {
+		return nil
+	}
+	m.asking[from] = now
+	if m.term == 0 {
 		return nil
 	}
 	return []Effect{m.hello(call, from, false)}
--- a/pkg/member/params.go
+++ b/pkg/member/params.go
@@ -22,9 +22,9 @@
 	laterStart = 250 * time.Millisecond
 	laterStep  = 40 * time.Millisecond
 	// bootStep spreads VMs that start together and know no other.
-	bootStep = 15 * time.Millisecond
+	bootStep = 5 * time.Millisecond
 	// bootWork divided by the cores of a VM is the delay of its first claim, up to longestBoot.
-	bootWork    = 40 * time.Millisecond
+	bootWork    = 15 * time.Millisecond
 	longestBoot = 250 * time.Millisecond
 	bootSlots   = 10
 )
