Soak the real program as processes under faults from outside

standin soak starts VMs as processes on loopback addresses, kills, pauses, terminates and hangs them up by signals, harms the store and the paths to it and to backend servers, and compares what callers and servers saw: whole answers to the right caller, orders that run once, true refusals, keys that no server sees, rates, recovery, no exits.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 LINT := bin/golangci-lint-$(LINT_VERSION)
 MODULES := . cmd/azuretiller cmd/standin cmd/tillerctl
 
-.PHONY: demo test build lint format generate check-generated bench capacity soak
+.PHONY: chaos demo test build lint format generate check-generated bench capacity soak
 
 demo: build
 	bin/standin demo $(DEMO)
@@ -47,3 +47,8 @@
 CHECKS ?= 2000
 soak:
 	SOAK_SEED=$(SEED) SOAK_CHECKS=$(CHECKS) go test -count=1 -timeout 3h ./pkg/bucket ./pkg/fairqueue ./pkg/ratehome ./pkg/pool ./pkg/control
+
+# Runs the real program as processes under faults: make chaos SEED=7 RUNS=50
+RUNS ?= 1
+chaos: build
+	bin/standin soak --seed $(SEED) --seeds $(RUNS)
--- a/cmd/standin/pkg/app/app.go
+++ b/cmd/standin/pkg/app/app.go
@@ -44,7 +44,7 @@
 	}
 	root.SetOut(out)
 	root.SetErr(errOut)
-	root.AddCommand(platformCommand(), backendCommand(), demoCommand(errOut), capacityCommand(), docsCommand())
+	root.AddCommand(platformCommand(), backendCommand(), demoCommand(errOut), capacityCommand(), docsCommand(), soakCommand())
 	return root
 }
 
--- a/cmd/standin/pkg/fleet/path_test.go
+++ b/cmd/standin/pkg/fleet/path_test.go
@@ -78,7 +78,7 @@
 	for _, w := range f.Workers {
 		for _, r := range w.Runs() {
 			assert.Equal(t, worker.Run{
-				Attempt: r.Attempt, Team: Team, Deadline: r.Deadline, Method: "POST", Target: "/orders/x%2Fy?z=1", Body: "body", Host: Host,
+				Attempt: r.Attempt, Team: Team, Deadline: r.Deadline, Method: "POST", Target: "/orders/x%2Fy?z=1", Body: "body", Host: Host, At: r.At,
 			}, r)
 			assert.NotEmpty(t, r.Deadline)
 		}
--- a/cmd/standin/pkg/worker/worker.go
+++ b/cmd/standin/pkg/worker/worker.go
@@ -53,6 +53,7 @@
 	Target   string
 	Body     string
 	Host     string
+	At       time.Time
 }
 
 // Worker is one backend server.
@@ -62,6 +63,9 @@
 	zone     string
 	listener net.Listener
 
+	// address is what the server says of itself in the registry.
+	address string
+
 	mu    sync.Mutex
 	fault Fault
 	work  time.Duration
@@ -76,13 +80,13 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen")
 	}
-	return &Worker{id: id, service: service, zone: zone, listener: l}, nil
+	return &Worker{id: id, service: service, zone: zone, listener: l, address: l.Addr().String()}, nil
 }
 
 // Entry returns what the server says of itself in the registry.
 func (w *Worker) Entry(state string, sequence int) []byte {
 	data, err := json.Marshal(map[string]any{
-		"service": w.service, "address": w.listener.Addr().String(), "zone": w.zone, "version": "v1",
+		"service": w.service, "address": w.address, "zone": w.zone, "version": "v1",
 		"concurrencyLimit": 3, "state": state, "warmupLeft": "0ms", "sequence": sequence, "born": 1,
 	})
 	if err != nil {
@@ -91,6 +95,12 @@
 	return data
 }
 
+// Address returns the host:port the server listens on.
+func (w *Worker) Address() string { return w.listener.Addr().String() }
+
+// Behind lets the server name another address in the registry, such as that of a proxy.
+func (w *Worker) Behind(address string) { w.address = address }
+
 // ID returns the server's id in the registry.
 func (w *Worker) ID() azuretiller.InstanceID { return azuretiller.InstanceID(w.id) }
 
@@ -154,6 +164,7 @@
 			Target:   request.RequestURI,
 			Body:     string(body),
 			Host:     request.Host,
+			At:       time.Now(),
 		})
 	}
 	w.mu.Unlock()
