--- a/Makefile
+++ b/Makefile
@@ -7,6 +7,7 @@
 
 demo: build
 	bin/standin demo $(DEMO)
+	bin/standin soak --span 6s
 
 build:
 	@mkdir -p bin
