--- a/Makefile
+++ b/Makefile
@@ -52,4 +52,4 @@
 # Runs the real program as processes under faults: make chaos SEED=7 RUNS=50
 RUNS ?= 1
 chaos: build
-	bin/standin soak --seed $(SEED) --seeds $(RUNS)
+	bin/standin soak --regressions --seed $(SEED) --seeds $(RUNS)
--- a/cmd/standin/pkg/app/soak.go
+++ b/cmd/standin/pkg/app/soak.go
@@ -17,6 +17,7 @@
 	p := soak.Params{}
 	var seeds int
 	var folder string
+	var regressions bool
 	cmd := &cobra.Command{
 		Use:   "soak",
 		Short: "Run the real program as processes, harm them from outside and check the promises",
@@ -24,9 +25,9 @@
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			p.Out = cmd.OutOrStdout()
 			bad := 0
-			first := p.Seed
-			for i := range seeds {
-				p.Seed = first + uint64(i)
+			list := seedsFrom(p.Seed, seeds, regressions)
+			for _, seed := range list {
+				p.Seed = seed
 				p.Folder = filepath.Join(folder, fmt.Sprint("seed-", p.Seed))
 				broken, err := soak.Run(cmd.Context(), p)
 				if err != nil {
@@ -39,7 +40,7 @@
 					bad++
 				}
 			}
-			_, _ = fmt.Fprintf(p.Out, "%d passed, %d failed\n", seeds-bad, bad)
+			_, _ = fmt.Fprintf(p.Out, "%d passed, %d failed\n", len(list)-bad, bad)
 			if bad > 0 {
 				return errBroken
 			}
@@ -49,6 +50,7 @@
 	cmd.Flags().StringVar(&p.Program, "program", "bin/azuretiller", "path of the program")
 	cmd.Flags().StringVar(&folder, "folder", ".cache/soak", "folder for settings and logs")
 	cmd.Flags().Uint64Var(&p.Seed, "seed", 1, "first seed")
+	cmd.Flags().BoolVar(&regressions, "regressions", false, "run the seeds that once failed, too")
 	cmd.Flags().IntVar(&seeds, "seeds", 1, "number of runs, each with the next seed")
 	cmd.Flags().IntVar(&p.VMs, "vms", 6, "number of VMs")
 	cmd.Flags().IntVar(&p.Workers, "servers", 6, "number of backend servers")
@@ -56,3 +58,17 @@
 	cmd.Flags().DurationVar(&p.Span, "span", 12*time.Second, "time in which faults are made")
 	return cmd
 }
+
+// seedsFrom returns consecutive seeds, after those that once failed if they are wanted.
+func seedsFrom(first uint64, n int, regressions bool) []uint64 {
+	var list []uint64
+	if regressions {
+		for _, r := range soak.Regressions() {
+			list = append(list, r.Seed)
+		}
+	}
+	for i := range n {
+		list = append(list, first+uint64(i))
+	}
+	return list
+}
--- a/cmd/standin/pkg/soak/vm.go
+++ b/cmd/standin/pkg/soak/vm.go
@@ -35,6 +35,9 @@
 	// store is the VM's own path to the store.
 	store *faultproxy.Proxy
 
+	// restarting is held while the process is replaced, so that overlapping faults do not run it twice.
+	restarting sync.Mutex
+
 	mu      sync.Mutex
 	command *exec.Cmd
 	// ended is closed when the process is gone, and wanted tells that the soak ended it.
@@ -131,6 +134,8 @@
 
 // restart ends the process with a signal, kills it after the grace time, and runs it again after a pause.
 func (v *vm) restart(ctx context.Context, s syscall.Signal, pause time.Duration, vms int) error {
+	v.restarting.Lock()
+	defer v.restarting.Unlock()
 	v.signal(s, true)
 	v.mu.Lock()
 	ended := v.ended
