--- a/cmd/standin/pkg/app/app.go
+++ b/cmd/standin/pkg/app/app.go
@@ -27,7 +27,9 @@
 func Run(args []string, out, errOut io.Writer) int {
 	root := Command(out, errOut)
 	root.SetArgs(args)
-	if err := root.Execute(); err != nil {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	if err := root.ExecuteContext(ctx); err != nil {
 		_, _ = fmt.Fprintln(errOut, "standin:", err)
 		return 1
 	}
--- a/pkg/desk/choose.go
+++ b/pkg/desk/choose.go
@@ -11,7 +11,7 @@
 // The load it answers: at any time a part of the servers is gray. Work goes to the servers that answered last, since
 // what is known of the others has faded; a request that may run only once waits a little rather than go to a doubtful one.
 func (d *Desk) choose(now time.Time, w *waiter) *server {
-	spread := d.spread(now)
+	spread := d.explores(now, w.Request) && d.spread(now)
 	var best *server
 	bestScore := math.Inf(-1)
 	busiest := 0.0
@@ -61,6 +61,15 @@
 	return score
 }
 
+// explores reports whether a request may be used to keep servers in use that are trusted less: one that may run again on
+// another server, or any while there are few of those.
+func (d *Desk) explores(now time.Time, r Request) bool {
+	if r.Repeat {
+		return false
+	}
+	return r.Idempotent || float64(d.reads.within(now)) < readsEnough*float64(len(d.servers))
+}
+
 // spread reports whether more servers must get work.
 //
 // The load it answers: when many requests are lost at once, as at the loss of a zone, or of all VMs with the requests that
--- a/pkg/desk/desk.go
+++ b/pkg/desk/desk.go
@@ -28,6 +28,8 @@
 	size    map[azuretiller.RouteID]float64
 	retries *budget.Budget
 	recent  recent
+	// reads are the starts of requests that may run again.
+	reads starts
 }
 
 type queue struct {
@@ -238,6 +240,9 @@
 		Fingerprint: w.Fingerprint,
 	}
 	s.start(now)
+	if w.Idempotent {
+		d.reads.add(now)
+	}
 	d.check.That(!now.Before(s.ColdUntil) || s.ColdRate <= 0 || len(s.coldStarts) <= int(s.ColdRate),
 		"cold server %s would get %d requests in a second", s.ID, len(s.coldStarts))
 	d.running[decision.Ticket] = &attempt{Request: w.Request, server: s, started: now}
--- a/pkg/desk/params.go
+++ b/pkg/desk/params.go
@@ -72,6 +72,8 @@
 	coverageWindow = 1800 * time.Millisecond
 	// busyService is the number of requests in the window from which most servers are always kept in use.
 	busyService = 20
+	// readsEnough is the number of requests in the window that may run again, for each server, from which only they explore.
+	readsEnough = 1.5
 	// soundAfter is how long after a failure a server counts as sound for the whole of a window, and recoveredAfter for a moment.
 	soundAfter     = 4 * time.Second
 	recoveredAfter = 2 * time.Second
--- a/pkg/desk/recent.go
+++ b/pkg/desk/recent.go
@@ -39,3 +39,22 @@
 	}
 	return lost, float64(lost) / float64(len(r.outcomes)), len(r.outcomes)
 }
+
+// starts are the times of events within the last coverageWindow.
+type starts struct {
+	times []time.Time
+}
+
+func (s *starts) add(now time.Time) {
+	s.within(now)
+	s.times = append(s.times, now)
+}
+
+func (s *starts) within(now time.Time) int {
+	n := 0
+	for n < len(s.times) && now.Sub(s.times[n]) > coverageWindow {
+		n++
+	}
+	s.times = s.times[n:]
+	return len(s.times)
+}
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -101,7 +101,7 @@
 	e.check = invariant.New(func(text string) { c.Log.WithField("message", text).Error("invariant violated") })
 	e.member = member.New(now, e.self, s.Seeds)
 	e.solo = solo.New(s.Zone, rand.New(rand.NewPCG(uint64(e.self.Incarnation), 1)))
-	e.state.Store(&gateway.State{VM: s.VM, Zone: s.Zone})
+	e.state.Store(&gateway.State{VM: s.VM, Zone: s.Zone, Unsettled: true})
 	return e
 }
 
