--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 LINT := bin/golangci-lint-$(LINT_VERSION)
 MODULES := . cmd/azuretiller cmd/standin cmd/tillerctl
 
-.PHONY: chaos demo test build lint format generate check-generated bench capacity soak
+.PHONY: chaos check-words demo test build lint format generate check-generated bench capacity soak
 
 demo: build
 	bin/standin demo $(DEMO)
@@ -34,6 +34,10 @@
 check-generated: generate
 	git diff --exit-code -- pkg/journalpb pkg/peerpb docs
 
+# Fails when the platform's names stand outside platform/ and the stand-ins.
+check-words:
+	@! grep -rnE '"(keyed\.|X-Request-Attempt-Id|X-Deadline-Ms|X-Target-Instance|X-Not-Executed|X-Response-Signature|X-Tenant-Id|X-Server-Load|/-/)' --include=*.go pkg cmd/azuretiller cmd/tillerctl *.go
+
 # Prints each measured figure beside its target and its baseline.
 bench:
 	@echo "| | figure | value | target | baseline |"
