--- a/cmd/azuretiller/pkg/app/edge.go
+++ b/cmd/azuretiller/pkg/app/edge.go
@@ -104,8 +104,8 @@
 }
 
 // watchSettings tells of each SIGHUP and of each change of the settings file that can be read.
-func watchSettings(ctx context.Context, c *common.Common, file string) <-chan struct{} {
-	reload := make(chan struct{}, 1)
+func watchSettings(ctx context.Context, c *common.Common, file string) <-chan platform.Settings {
+	reload := make(chan platform.Settings, 1)
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
 	go func() {
@@ -124,12 +124,13 @@
 				}
 				changed = now
 			}
-			if _, err := platform.LoadSettings(file); err != nil {
+			s, err := platform.LoadSettings(file)
+			if err != nil {
 				c.Log.WithError(err).Warn("settings not reloaded")
 				continue
 			}
 			select {
-			case reload <- struct{}{}:
+			case reload <- s:
 			default:
 			}
 		}
--- a/pkg/desk/desk.go
+++ b/pkg/desk/desk.go
@@ -77,6 +77,12 @@
 	}
 }
 
+// SetParams replaces the tolerances; what was saved up of the retry budget stays.
+func (d *Desk) SetParams(p Params) {
+	d.params = p
+	d.retries.SetRatio(retryShare * p.RetryRatio)
+}
+
 // SetServers replaces the servers; those that stay keep what is known of them.
 func (d *Desk) SetServers(now time.Time, servers []Server) []Decision {
 	next := make([]*server, 0, len(servers))
--- a/pkg/edge/control.go
+++ b/pkg/edge/control.go
@@ -15,6 +15,7 @@
 	"github.com/azuretiller/azuretiller/pkg/link"
 	"github.com/azuretiller/azuretiller/pkg/member"
 	"github.com/azuretiller/azuretiller/pkg/message"
+	"github.com/azuretiller/azuretiller/platform"
 )
 
 // crossing is what sending a request to another zone costs, as a share of its worth: links between zones are paid by the byte.
@@ -40,7 +41,7 @@
 }
 
 // control is the one goroutine that owns the control state.
-func (e *Edge) control(ctx context.Context, reload <-chan struct{}) {
+func (e *Edge) control(ctx context.Context, reload <-chan platform.Settings) {
 	ticks := e.timer.Subscribe(tickGap)
 	for {
 		select {
@@ -54,8 +55,8 @@
 			return
 		case event := <-e.urgent:
 			e.handle(ctx, e.common.Clock.Now(), event)
-		case <-reload:
-			e.note("reload", map[string]any{"vm": e.self.ID})
+		case s := <-reload:
+			e.reload(s)
 		case <-ticks:
 			e.tick(ctx, e.common.Clock.Now())
 		case event := <-e.inbox:
@@ -180,9 +181,12 @@
 			e.common.Metrics.Counter("asks_expired").Inc(1)
 			return
 		}
-		if e.leader != nil {
-			e.runLeader(e.leader.Receive(now, in.From, in.Envelope))
+		if e.leader == nil {
+			moved := message.Grant{Code: azuretiller.CodePoolMoved, Term: e.member.Term()}
+			e.send(in.From, message.Envelope{Call: in.Call, Body: moved})
+			return
 		}
+		e.runLeader(e.leader.Receive(now, in.From, in.Envelope))
 	case message.Report:
 		if e.leader != nil {
 			e.runLeader(e.leader.Receive(now, in.From, in.Envelope))
@@ -248,16 +252,30 @@
 }
 
 func (e *Edge) lead(term azuretiller.Term) {
+	e.leader = leader.New(e.common.Clock.Now(), e.params(), e.check, term, e.self.ID, e.self.Peer, e.member.Peers())
+	e.leader.SetConfig(e.config)
+	e.feed.settingsAt, e.feed.serversAt = time.Time{}, time.Time{}
+	e.note("leading", map[string]any{"term": term, "version": e.revision()})
+}
+
+func (e *Edge) params() leader.Params {
 	b := e.settings.Bounds
-	e.leader = leader.New(e.common.Clock.Now(), leader.Params{
+	return leader.Params{
 		Desk:       desk.Params{RetryRatio: b.RetryRatio, RetrySlack: b.RetrySlack, Crossing: crossing, CrossingKB: crossingKB},
 		RateOver:   b.RateOver,
 		RateSlack:  b.RateSlack,
 		RateWindow: b.RateWindow,
-	}, e.check, term, e.self.ID, e.self.Peer, e.member.Peers())
-	e.leader.SetConfig(e.config)
-	e.feed.settingsAt, e.feed.serversAt = time.Time{}, time.Time{}
-	e.note("leading", map[string]any{"term": term, "version": e.revision()})
+	}
+}
+
+// reload takes new tolerances; addresses stay as they were at the start.
+func (e *Edge) reload(s platform.Settings) {
+	e.settings.Bounds = s.Bounds
+	e.grace.Store(int64(s.Bounds.Grace))
+	if e.leader != nil {
+		e.leader.SetParams(e.params())
+	}
+	e.note("reload", map[string]any{"vm": e.self.ID, "retry_ratio": s.Bounds.RetryRatio, "rate_over": s.Bounds.RateOver, "grace": s.Bounds.Grace})
 }
 
 func (e *Edge) runLeader(effects []leader.Effect) {
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -58,8 +58,10 @@
 	timer *timer.Service
 	inbox chan any
 	// urgent has the messages about the lead, which must not wait behind requests.
-	urgent  chan any
-	state   atomic.Pointer[gateway.State]
+	urgent chan any
+	state  atomic.Pointer[gateway.State]
+	// grace is the time from SIGTERM to SIGKILL, in nanoseconds.
+	grace   atomic.Int64
 	link    *link.Link
 	gateway *gateway.Gateway
 	solo    *solo.Solo
@@ -101,6 +103,7 @@
 	e.check = invariant.New(func(text string) { c.Log.WithField("message", text).Error("invariant violated") })
 	e.member = member.New(now, e.self, s.Seeds)
 	e.solo = solo.New(s.Zone, rand.New(rand.NewPCG(uint64(e.self.Incarnation), 1)))
+	e.grace.Store(int64(s.Bounds.Grace))
 	e.state.Store(&gateway.State{VM: s.VM, Zone: s.Zone, Unsettled: true})
 	return e
 }
@@ -108,8 +111,8 @@
 // State returns what the VM knows.
 func (e *Edge) State() *gateway.State { return e.state.Load() }
 
-// Run serves until the context ends, then drains and returns.
-func (e *Edge) Run(ctx context.Context, reload <-chan struct{}) error {
+// Run serves until the context ends, then drains and returns. Settings that come meanwhile replace the tolerances.
+func (e *Edge) Run(ctx context.Context, reload <-chan platform.Settings) error {
 	running, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	socket, err := e.listenDatagrams()
@@ -197,7 +200,7 @@
 
 // drain tells the fleet that this VM leaves, serves callers until they use others, and waits for running requests.
 func (e *Edge) drain(ctx context.Context) {
-	grace := e.settings.Bounds.Grace
+	grace := time.Duration(e.grace.Load())
 	e.common.Log.WithField("grace", grace).Info("leaving")
 	started := e.common.Clock.Now()
 	e.post(func() { e.leave() })
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -118,7 +118,7 @@
 
 func (b *bench) serve(method, path string) *httptest.ResponseRecorder {
 	w := httptest.NewRecorder()
-	b.ServeHTTP(w, httptest.NewRequest(method, "http://h"+path, strings.NewReader("")))
+	b.ServeHTTP(w, httptest.NewRequestWithContext(context.Background(), method, "http://h"+path, strings.NewReader("")))
 	return w
 }
 
--- a/pkg/gateway/params.go
+++ b/pkg/gateway/params.go
@@ -3,6 +3,8 @@
 import "time"
 
 const (
+	// mostLeaders is how many leaders a request asks, when the lead moves on meanwhile.
+	mostLeaders = 2
 	// askRepeat is how soon a question to the leader is sent again, and askPatience when the VM decides on its own.
 	// An answer takes a few milliseconds inside a region.
 	askRepeat   = 70 * time.Millisecond
--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -167,19 +167,27 @@
 
 // ask gets a server from the leader, or decides alone when the leader does not answer; it reports whether it did.
 func (c *call) ask(ctx context.Context, q question) (message.Grant, bool) {
-	if c.state.InTouch && !q.alone {
-		grant, err := c.askLeader(ctx, q)
+	state := c.state
+	for range mostLeaders {
+		if !state.InTouch || q.alone {
+			break
+		}
+		grant, err := c.askLeader(ctx, state, q)
 		if err == nil {
 			return grant, false
 		}
 		if ctx.Err() != nil {
 			return message.Grant{Code: azuretiller.CodeQueueTimeout}, false
 		}
+		asked := state.Leader
+		if state = c.gateway.current(); state.Leader == asked {
+			break
+		}
 	}
 	if q.hedge {
 		return message.Grant{Code: azuretiller.CodeHomeUnreachable}, true
 	}
-	state := c.gateway.current()
+	state = c.gateway.current()
 	return c.gateway.solo.Place(c.gateway.common.Clock.Now(), solo.Want{
 		Team:     c.team.ID,
 		Rate:     c.team.Rate,
@@ -189,9 +197,9 @@
 	}, state.Servers, len(state.Members)), true
 }
 
-var errNoAnswer = errors.New("the leader does not answer")
+var errNoAnswer = errors.New("no answer of the leader")
 
-func (c *call) askLeader(ctx context.Context, q question) (message.Grant, error) {
+func (c *call) askLeader(ctx context.Context, state *State, q question) (message.Grant, error) {
 	call, answers, done := c.gateway.link.Open()
 	defer done()
 	now := c.gateway.common.Clock.Now()
@@ -209,14 +217,14 @@
 		Tried:       q.tried,
 		Fingerprint: c.fingerprint(),
 		Last:        q.last,
-		Term:        c.state.Term,
+		Term:        state.Term,
 		Hedge:       q.hedge,
 	}}
 	patience := time.NewTimer(askPatience)
 	defer patience.Stop()
 	repeat := time.NewTicker(askRepeat)
 	defer repeat.Stop()
-	if err := c.gateway.link.Send(c.state.Leader, asked); err != nil {
+	if err := c.gateway.link.Send(state.Leader, asked); err != nil {
 		return message.Grant{}, err
 	}
 	queued := false
@@ -224,13 +232,16 @@
 		select {
 		case answer := <-answers:
 			grant, ok := answer.(message.Grant)
+			if ok && grant.Code == azuretiller.CodePoolMoved {
+				return message.Grant{}, errNoAnswer
+			}
 			if ok && !grant.Waiting {
 				return grant, nil
 			}
 			queued = true
 		case <-repeat.C:
 			// A queued request asks again too: the grant may have been lost.
-			if err := c.gateway.link.Send(c.state.Leader, asked); err != nil {
+			if err := c.gateway.link.Send(state.Leader, asked); err != nil {
 				return message.Grant{}, err
 			}
 		case <-patience.C:
--- a/pkg/leader/leader.go
+++ b/pkg/leader/leader.go
@@ -150,6 +150,14 @@
 	return min(limit.Burst, azuretiller.Millitokens(startShare*tolerance))
 }
 
+// SetParams replaces the tolerances.
+func (l *Leader) SetParams(p Params) {
+	l.params = p
+	for _, d := range l.desks {
+		d.SetParams(p.Desk)
+	}
+}
+
 // SetConfig replaces the configuration.
 func (l *Leader) SetConfig(c *config.Config) { l.config = c }
 
