--- /dev/null
+++ b/pkg/fleetwire/codec_test.go
@@ -0,0 +1,67 @@
+package fleetwire
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/azuretiller/azuretiller"
+	"github.com/azuretiller/azuretiller/pkg/config"
+	"github.com/azuretiller/azuretiller/pkg/message"
+)
+
+func TestEveryFieldSurvives(t *testing.T) {
+	last := message.Report{Ticket: 1, Result: message.Shed, Took: 3 * time.Millisecond, Bytes: 9, Server: "i", Term: 2}
+	for _, body := range []any{
+		message.Beat{VM: "v", Incarnation: 1, Zone: "z", Callers: "c", Addresses: "a", Ready: true, Leaving: true, Power: 32, Term: 2, View: 3, Settings: 4},
+		message.BeatAnswer{Term: 1, Leads: true, Leader: "l", Address: "a", Settings: 5, Resigned: true, Known: true},
+		message.Poll{Term: 7},
+		message.Vote{Term: 7, InTouch: true, Leader: "l", Address: "a"},
+		message.Ask{
+			Request: "r", Route: "x", Team: "t", Backends: []config.Backend{{Service: "s", Weight: 3}}, Deadline: time.Second, Objective: 2 * time.Second,
+			Priority: 4, Idempotent: true, Attempt: 2, Tried: []azuretiller.InstanceID{"i"}, Fingerprint: 9, Last: &last, Term: 1, Hedge: true,
+		},
+		message.Grant{Ticket: 1, Server: "i", Address: "a", Service: "s", Code: azuretiller.CodeOverloaded, RetryAfter: time.Second, Waiting: true, Term: 3},
+		last,
+		message.Seen{Term: 4},
+		message.View{
+			Term: 1, Version: 2, Relay: true, Part: 1, Parts: 3,
+			Members: []message.Member{{VM: "v", Zone: "z", Callers: "c", Peer: "p", Ready: true, Power: 32}},
+			Servers: []message.Server{{ID: "i", Service: "s", Address: "a", Zone: "z", Slots: 3, Closed: true, Success: 70}},
+		},
+	} {
+		data, err := Encode(message.Envelope{Call: 12, Body: body})
+		require.NoError(t, err)
+		e, err := Decode(data)
+		require.NoError(t, err)
+		assert.Equal(t, message.Envelope{Call: 12, Body: body}, e)
+	}
+}
+
+func TestWhatCannotBeEncodedOrDecoded(t *testing.T) {
+	_, err := Encode(message.Envelope{Body: "text"})
+	require.Error(t, err)
+	for _, data := range [][]byte{nil, {0xff}, {0x08, 0x01}} {
+		_, err := Decode(data)
+		require.Error(t, err)
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	data, err := Encode(message.Envelope{Call: 1, Body: message.Seen{Term: 4}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(data)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		e, err := Decode(data)
+		if err != nil {
+			return
+		}
+		if _, err := Encode(e); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
--- a/pkg/fleetwire/view.go
+++ b/pkg/fleetwire/view.go
@@ -7,7 +7,7 @@
 )
 
 func encodeView(v message.View) *fleetpb.View {
-	p := &fleetpb.View{Term: uint64(v.Term), Version: v.Version, Relay: v.Relay}
+	p := &fleetpb.View{Term: uint64(v.Term), Version: v.Version, Relay: v.Relay, Part: uint32(v.Part), Parts: uint32(v.Parts)}
 	for _, m := range v.Members {
 		p.Members = append(p.Members, &fleetpb.Member{
 			Vm:      string(m.VM),
@@ -33,7 +33,7 @@
 }
 
 func decodeView(p *fleetpb.View) message.View {
-	v := message.View{Term: azuretiller.Term(p.GetTerm()), Version: p.GetVersion(), Relay: p.GetRelay()}
+	v := message.View{Term: azuretiller.Term(p.GetTerm()), Version: p.GetVersion(), Relay: p.GetRelay(), Part: int(p.GetPart()), Parts: int(p.GetParts())}
 	for _, m := range p.GetMembers() {
 		v.Members = append(v.Members, message.Member{
 			VM:      azuretiller.VMID(m.GetVm()),
--- a/pkg/leader/leader.go
+++ b/pkg/leader/leader.go
@@ -253,7 +253,7 @@
 	effects = append(effects, Send{To: from, Message: message.Envelope{Call: call, Body: answer}})
 	if b.View != l.version && now.Sub(m.viewAt) > viewRepeat && !l.changed && l.version > 0 {
 		m.viewAt = now
-		effects = append(effects, Send{To: from, Message: message.Envelope{Body: l.view(now)}})
+		effects = append(effects, sendParts(from, l.view(now))...)
 	}
 	return effects
 }
@@ -515,7 +515,15 @@
 	}
 	effects := []Effect{Note{"view", log.Fields{"term": l.term, "version": l.version, "members": len(view.Members), "servers": len(view.Servers)}}}
 	for _, head := range heads {
-		effects = append(effects, Send{To: head, Message: message.Envelope{Body: view}})
+		effects = append(effects, sendParts(head, view)...)
+	}
+	return effects
+}
+
+func sendParts(to string, v message.View) []Effect {
+	var effects []Effect
+	for _, part := range v.Split() {
+		effects = append(effects, Send{To: to, Message: message.Envelope{Body: part}})
 	}
 	return effects
 }
--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -32,6 +32,10 @@
 	expected time.Time
 	beatAt   time.Time
 	view     message.View
+	// parts are those of a newer view that is not whole yet.
+	parts        map[int]message.View
+	partsTerm    azuretiller.Term
+	partsVersion uint64
 
 	step step
 	// at is when the next step is due.
@@ -383,16 +387,27 @@
 	if v.Term < m.view.Term || v.Term == m.view.Term && v.Version <= m.view.Version {
 		return nil
 	}
-	relay := v.Relay
-	v.Relay = false
-	m.view = v
+	if m.parts == nil || m.partsTerm != v.Term || m.partsVersion != v.Version {
+		m.parts, m.partsTerm, m.partsVersion = map[int]message.View{}, v.Term, v.Version
+	}
+	m.parts[v.Part] = v
+	whole, ok := message.Join(m.parts)
+	if !ok {
+		return nil
+	}
+	relay := m.parts[0].Relay
+	m.parts = nil
+	m.view = whole
 	if !relay {
 		return nil
 	}
 	var effects []Effect
-	for _, other := range v.Members {
-		if other.Zone == m.self.Zone && other.Peer != m.self.Peer {
-			effects = append(effects, Send{To: other.Peer, Body: message.Envelope{Body: v}})
+	for _, other := range whole.Members {
+		if other.Zone != m.self.Zone || other.Peer == m.self.Peer {
+			continue
+		}
+		for _, part := range whole.Split() {
+			effects = append(effects, Send{To: other.Peer, Body: message.Envelope{Body: part}})
 		}
 	}
 	return effects
--- a/pkg/message/message.go
+++ b/pkg/message/message.go
@@ -120,6 +120,9 @@
 	Servers []Server
 	// Relay asks the VM to pass the view on to the others of its zone.
 	Relay bool
+	// Part counts from 0 to Parts-1 in a view that is sent in several messages.
+	Part  int
+	Parts int
 }
 
 // Member is one VM of the fleet.
