--- a/pkg/edge/control.go
+++ b/pkg/edge/control.go
@@ -211,9 +211,7 @@
 	for _, effect := range effects {
 		switch v := effect.(type) {
 		case member.Send:
-			if m, ok := v.Body.(message.Envelope); ok {
-				e.send(v.To, m)
-			}
+			e.send(v.To, v.Message)
 		case member.ReadLeader:
 			go e.readLeader(ctx)
 		case member.Claim:
--- a/pkg/gateway/answer.go
+++ b/pkg/gateway/answer.go
@@ -87,7 +87,7 @@
 	}
 	if a.grant.Server == "" {
 		if ctx.Err() != nil {
-			c.expire(ctx, nil)
+			c.expire(nil)
 			return
 		}
 		c.refuse(a.grant.Code, a.grant.RetryAfter)
@@ -109,7 +109,7 @@
 }
 
 // expire ends a request whose time is over or whose caller left.
-func (c *call) expire(ctx context.Context, failed *attempt) {
+func (c *call) expire(failed *attempt) {
 	if c.request.Context().Err() != nil {
 		c.code = azuretiller.CodeCancelled
 		c.reason = "the caller left"
@@ -118,6 +118,5 @@
 	if failed != nil && failed.answer.Err != nil {
 		c.reason = failed.answer.Err.Error()
 	}
-	_ = ctx
 	c.refuse(azuretiller.CodeServerTimeout, 0)
 }
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -66,12 +66,15 @@
 	sent    []upstream.Attempt
 }
 
-func (s *fakeSender) Send(_ context.Context, a upstream.Attempt) upstream.Answer {
+func (s *fakeSender) Send(ctx context.Context, a upstream.Attempt) upstream.Answer {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.sent = append(s.sent, a)
 	answer := s.answers[0]
 	s.answers = s.answers[1:]
+	s.mu.Unlock()
+	if answer.Result == message.Cancelled {
+		<-ctx.Done()
+	}
 	return answer
 }
 
@@ -90,11 +93,14 @@
 	return b
 }
 
-func ready() *State {
+func ready() *State { return readyWithin(5 * time.Second) }
+
+// readyWithin is the state of a VM whose routes have an objective.
+func readyWithin(objective time.Duration) *State {
 	route := func(id, prefix, idempotent string) config.Route {
 		return config.Route{
 			ID: azuretiller.RouteID(id), Host: "h", Prefix: prefix, Open: true, Idempotent: idempotent, Timeout: 5 * time.Second, Attempts: 2,
-			Objective: 5 * time.Second, Backends: []config.Backend{{Service: "s", Weight: 1}},
+			Objective: objective, Backends: []config.Backend{{Service: "s", Weight: 1}},
 		}
 	}
 	return &State{InTouch: true, Leader: "10.0.0.1:1", Config: config.Assemble(config.Parts{
@@ -194,3 +200,12 @@
 	assert.Equal(t, message.Failed, b.link.asked[1].Last.Result)
 	assert.Equal(t, []config.Backend{{Service: "s", Weight: 1}}, b.link.asked[1].Backends)
 }
+
+// TestSlowReadIsSentToASecondServer lets the first server never answer; only a request that may run twice goes to another one.
+func TestSlowReadIsSentToASecondServer(t *testing.T) {
+	b := newBench([]message.Grant{grant(1), grant(2)}, upstream.Answer{Result: message.Cancelled}, answered(message.Succeeded, 200))
+	b.state.Store(readyWithin(50 * time.Millisecond))
+	assert.Equal(t, 200, b.serve("GET", "/reads/1").Code)
+	assert.Len(t, b.sender.sent, 2)
+	assert.True(t, b.link.asked[1].Hedge)
+}
--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -78,7 +78,7 @@
 				launch(nil, true)
 			}
 		case <-ctx.Done():
-			c.expire(ctx, failed)
+			c.expire(failed)
 			return
 		}
 	}
--- a/pkg/leader/leader_test.go
+++ b/pkg/leader/leader_test.go
@@ -168,3 +168,14 @@
 	require.Len(t, after, 1)
 	assert.NotZero(t, after[0].Ticket)
 }
+
+func TestNewTolerancesHoldAtOnce(t *testing.T) {
+	l := newLeader()
+	withTeam(l, 10, 100)
+	limit := l.limit(start(), "team")
+	before := l.firstTokens("team", limit)
+	p := l.params
+	p.RateSlack = 60
+	l.SetParams(p)
+	assert.Equal(t, before+20*azuretiller.TokenCost, l.firstTokens("team", limit))
+}
--- a/pkg/member/effect.go
+++ b/pkg/member/effect.go
@@ -12,8 +12,8 @@
 
 // Send sends a message to the host:port of a VM.
 type Send struct {
-	To   string
-	Body any
+	To      string
+	Message message.Envelope
 }
 
 // ReadLeader reads the leader record; the answer goes to LeaderRead.
@@ -50,7 +50,7 @@
 }
 
 func (m *Member) hello(call uint64, to string, leads bool) Effect {
-	return Send{To: to, Body: message.Envelope{Call: call, Body: message.BeatAnswer{
+	return Send{To: to, Message: message.Envelope{Call: call, Body: message.BeatAnswer{
 		Term:    m.term,
 		Leads:   leads,
 		Leader:  m.leader,
--- a/pkg/member/fleet_test.go
+++ b/pkg/member/fleet_test.go
@@ -124,9 +124,7 @@
 	for _, effect := range effects {
 		switch e := effect.(type) {
 		case Send:
-			m, ok := e.Body.(message.Envelope)
-			require.True(f.t, ok)
-			f.send(v, e.To, m)
+			f.send(v, e.To, e.Message)
 		case ReadLeader:
 			f.call(v, func(err error) []Effect {
 				return v.member.LeaderRead(f.schedule.Now(), f.store.record, f.store.next, err)
