--- a/Makefile
+++ b/Makefile
@@ -32,7 +32,7 @@
 	go run ./cmd/standin docs docs
 
 check-generated: generate
-	git diff --exit-code -- pkg/journalpb pkg/peerpb docs
+	git diff --exit-code -- pkg/fleetpb pkg/journalpb pkg/peerpb docs
 
 # Fails when the platform's names stand outside platform/ and the stand-ins.
 check-words:
