Do not place work by what a VM read in an earlier time

A new leader now begins with the servers of the view, and a VM that is alone uses its own reads only for 2.5 s. TestOldReadsAreNotUsed fails with the old condition.

--- a/pkg/edge/control.go
+++ b/pkg/edge/control.go
@@ -111,6 +111,7 @@
 		e.feed.serversBusy = false
 		e.noteRead(now, v.err)
 		if v.err == nil {
+			e.feed.serversRead = now
 			e.world.Servers(now, v.page)
 			e.world.Forget(now)
 			e.refreshLeader(now)
@@ -160,7 +161,7 @@
 
 // refreshLeader gives the leader the newest servers.
 func (e *Edge) refreshLeader(now time.Time) {
-	if e.leader != nil && e.world.ServersNext() > 0 {
+	if e.leader != nil && !e.feed.serversRead.IsZero() {
 		e.feed.refreshedAt = now
 		e.runLeader(e.leader.SetServers(now, e.world.Desk(now, e.config)))
 	}
@@ -252,6 +253,9 @@
 func (e *Edge) lead(term azuretiller.Term) {
 	e.leader = leader.New(e.common.Clock.Now(), e.params(), e.check, term, e.self.ID, e.self.Peer, e.member.Peers())
 	e.leader.SetConfig(e.config)
+	// What this VM read when it was last alone or led may be old; the view is newer until the first read of the term.
+	e.feed.serversRead = time.Time{}
+	e.runLeader(e.leader.SetServers(e.common.Clock.Now(), serversOf(e.member.View())))
 	e.feed.settingsAt, e.feed.serversAt = time.Time{}, time.Time{}
 	e.note("leading", map[string]any{"term": term, "version": e.revision()})
 }
@@ -314,12 +318,27 @@
 		Members:   view.Members,
 		Servers:   view.Servers,
 	}
-	if !s.InTouch && e.world.ServersNext() > 0 && e.leader == nil && e.member.OutFor(now) > aloneAfter {
+	if !s.InTouch && !e.feed.serversRead.IsZero() && now.Sub(e.feed.serversRead) < ownServersAge && e.member.OutFor(now) > aloneAfter {
 		s.Servers = e.ownServers(now)
 	}
 	e.state.Store(s)
 }
 
+// serversOf returns the servers of a view for placing work.
+func serversOf(v message.View) map[azuretiller.ServiceID][]desk.Server {
+	services := map[azuretiller.ServiceID][]desk.Server{}
+	for _, s := range v.Servers {
+		services[s.Service] = append(services[s.Service], desk.Server{
+			ID:      s.ID,
+			Address: s.Address,
+			Zone:    s.Zone,
+			Slots:   s.Slots,
+			Closed:  s.Closed,
+		})
+	}
+	return services
+}
+
 // ownServers returns the servers as this VM read them itself.
 func (e *Edge) ownServers(now time.Time) []message.Server {
 	const unknown = 50
--- /dev/null
+++ b/pkg/edge/edge_test.go
@@ -0,0 +1,33 @@
+package edge
+
+import (
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/stretchr/testify/assert"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/azuretiller/azuretiller"
+	"github.com/azuretiller/azuretiller/pkg/common"
+	"github.com/azuretiller/azuretiller/pkg/message"
+	"github.com/azuretiller/azuretiller/pkg/systemclock"
+	"github.com/azuretiller/azuretiller/platform"
+)
+
+// TestOldReadsAreNotUsed lets a VM read a server while it is alone, and lose touch again after the server has left.
+func TestOldReadsAreNotUsed(t *testing.T) {
+	c := &common.Common{Log: &log.Logger{Handler: discard.New()}, Clock: systemclock.New(), Metrics: tally.NoopScope}
+	e := New(c, platform.Settings{VM: "vm", Zone: "z", Peer: "127.0.0.1:1"}, nil)
+	now := c.Clock.Now().Add(time.Minute)
+	e.member.Receive(now, "127.0.0.1:2", 0, message.View{Term: 1, Version: 1, Parts: 1, Servers: []message.Server{{ID: "new", Service: "s"}}})
+	page := azuretiller.ServersPage{Whole: true, Next: 2, Changes: []azuretiller.ServerChange{
+		{ID: "left", Server: azuretiller.BackendServer{ID: "left", Service: "s"}},
+	}}
+	e.handle(t.Context(), now, serversRead{page: page})
+	assert.Equal(t, azuretiller.InstanceID("left"), e.State().Servers[0].ID, "what was just read is newer than the view")
+	e.publish(now.Add(20 * time.Second))
+	assert.Equal(t, azuretiller.InstanceID("new"), e.State().Servers[0].ID, "the view is newer than an old read")
+	assert.Equal(t, azuretiller.InstanceID("new"), serversOf(e.member.View())["s"][0].ID)
+}
--- a/pkg/edge/feed.go
+++ b/pkg/edge/feed.go
@@ -25,6 +25,8 @@
 	storeLost = 500 * time.Millisecond
 	// isolatedAfter is the time out of touch after which the view of the fleet is too old for callers.
 	isolatedAfter = 2 * time.Second
+	// ownServersAge is the age from which what a VM read itself is older than the view.
+	ownServersAge = 2500 * time.Millisecond
 	// unsettledFor is the time after the start or the loss of the leader in which requests wait for one.
 	unsettledFor = 1500 * time.Millisecond
 	// headRetry is the time between two questions to the VM of this zone that fetches first, and fetchRetry to the leader.
@@ -41,6 +43,8 @@
 	settingsAt, serversAt, fetchAt time.Time
 	// refreshedAt is when the leader's desks last got the servers.
 	refreshedAt time.Time
+	// serversRead is when the registry of servers was last read, zero since a new term began.
+	serversRead time.Time
 	// failing is when reads began to fail, zero while they succeed, and asked when the read of servers that runs began.
 	failing, asked time.Time
 	// wanted is the newest configuration that another VM told of, and wantedFrom that VM.
