--- a/cmd/standin/pkg/fleet/fleet.go
+++ b/cmd/standin/pkg/fleet/fleet.go
@@ -17,6 +17,7 @@
 
 	"github.com/azuretiller/azuretiller"
 	"github.com/azuretiller/azuretiller/cmd/standin/pkg/keyedstore"
+	"github.com/azuretiller/azuretiller/cmd/standin/pkg/loopback"
 	"github.com/azuretiller/azuretiller/cmd/standin/pkg/worker"
 	"github.com/azuretiller/azuretiller/pkg/common"
 	"github.com/azuretiller/azuretiller/pkg/edge"
@@ -81,11 +82,7 @@
 	go f.register(ctx)
 	f.Configure(nil)
 	for i := range vms {
-		s, err := f.settings(ctx, i)
-		if err != nil {
-			return nil, err
-		}
-		f.vms = append(f.vms, &vm{settings: s})
+		f.vms = append(f.vms, &vm{settings: f.settings(i)})
 		f.Start(ctx, i)
 	}
 	return f, nil
@@ -142,32 +139,23 @@
 	return f.version
 }
 
-// settings finds free ports for a VM.
-func (f *Fleet) settings(ctx context.Context, i int) (platform.Settings, error) {
-	var config net.ListenConfig
-	addresses := make([]string, 4)
-	for n := range addresses {
-		l, err := config.Listen(ctx, "tcp", "127.0.0.1:0")
-		if err != nil {
-			return platform.Settings{}, errors.Wrap(err, "find a free port")
-		}
-		addresses[n] = l.Addr().String()
-		_ = l.Close()
-	}
+// settings returns those of a VM.
+func (f *Fleet) settings(i int) platform.Settings {
+	at := func(port int) string { return net.JoinHostPort(loopback.Host(i), strconv.Itoa(port)) }
 	return platform.Settings{
 		VM:        azuretiller.VMID(fmt.Sprint("vm-", i)),
 		Zone:      azuretiller.Zone(fmt.Sprint("zone-", i%2)),
-		Callers:   addresses[0],
-		Ready:     addresses[1],
-		Addresses: addresses[2],
-		Peer:      addresses[3],
+		Callers:   at(loopback.PortCallers),
+		Ready:     at(loopback.PortReady),
+		Addresses: at(loopback.PortAddresses),
+		Peer:      at(loopback.PortPeers),
 		Store:     f.address,
 		Bounds: platform.Bounds{
 			RetryRatio: 0.2, RetrySlack: 50, RetryWindow: 10 * time.Second,
 			RateOver: 0.1, RateSlack: 20, RateWindow: 5 * time.Second,
 			ColdOver: 1.5, ColdSlack: 5, Grace: grace,
 		},
-	}, nil
+	}
 }
 
 // Start runs a VM that does not run.
--- a/cmd/standin/pkg/fleet/path_test.go
+++ b/cmd/standin/pkg/fleet/path_test.go
@@ -3,15 +3,18 @@
 import (
 	"context"
 	"fmt"
+	"os"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/apex/log"
-	"github.com/apex/log/handlers/discard"
+	"github.com/apex/log/handlers/logfmt"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/azuretiller/azuretiller/cmd/standin/pkg/loopback"
 	"github.com/azuretiller/azuretiller/cmd/standin/pkg/worker"
 )
 
@@ -21,7 +24,7 @@
 func startFleet(t *testing.T, vms, workers int) (context.Context, *Fleet) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(t.Context())
-	f, err := New(ctx, &log.Logger{Handler: discard.New(), Level: log.InfoLevel}, vms, workers)
+	f, err := New(ctx, &log.Logger{Handler: logfmt.New(os.Stderr), Level: log.ErrorLevel}, vms, workers)
 	require.NoError(t, err)
 	t.Cleanup(func() {
 		cancel()
@@ -267,13 +270,15 @@
 }
 
 func TestAddressesNameReadyVMsOfTheZone(t *testing.T) {
+	// The port stands once in an answer for each VM that it names.
+	callersPort := ":" + strconv.Itoa(loopback.PortCallers)
 	ctx, f := startFleet(t, 6, 1)
 	eventually(t, "all VMs of the zone are named", func() bool {
-		return strings.Count(f.Addresses(ctx, 0, "zone-1").Body, "127.0.0.1:") == 3
+		return strings.Count(f.Addresses(ctx, 0, "zone-1").Body, callersPort) == 3
 	})
 	f.Stop(3)
 	eventually(t, "the VM that stopped is not named", func() bool {
-		return strings.Count(f.Addresses(ctx, 0, "zone-1").Body, "127.0.0.1:") == 2
+		return strings.Count(f.Addresses(ctx, 0, "zone-1").Body, callersPort) == 2
 	})
 }
 
--- /dev/null
+++ b/cmd/standin/pkg/loopback/doc.go
@@ -0,0 +1,2 @@
+// Package loopback gives VMs of tests addresses that no other process on the machine uses.
+package loopback
--- a/cmd/standin/pkg/soak/soak.go
+++ b/cmd/standin/pkg/soak/soak.go
@@ -18,6 +18,7 @@
 
 	"github.com/azuretiller/azuretiller/cmd/standin/pkg/faultproxy"
 	"github.com/azuretiller/azuretiller/cmd/standin/pkg/keyedstore"
+	"github.com/azuretiller/azuretiller/cmd/standin/pkg/loopback"
 	"github.com/azuretiller/azuretiller/cmd/standin/pkg/worker"
 )
 
@@ -133,7 +134,7 @@
 			return err
 		}
 		go path.Serve(ctx)
-		v := &vm{index: i, seed: s.params.Seed, ip: ipOf(s.params.Seed, i), folder: s.params.Folder, program: s.params.Program, store: path}
+		v := &vm{index: i, ip: loopback.Host(i), folder: s.params.Folder, program: s.params.Program, store: path}
 		if err := v.start(ctx, s.params.VMs); err != nil {
 			return err
 		}
--- a/cmd/standin/pkg/soak/vm.go
+++ b/cmd/standin/pkg/soak/vm.go
@@ -13,23 +13,16 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/azuretiller/azuretiller/cmd/standin/pkg/faultproxy"
+	"github.com/azuretiller/azuretiller/cmd/standin/pkg/loopback"
 	"github.com/azuretiller/azuretiller/platform"
 )
 
-// The ports of every VM; VMs differ by their loopback address.
-const (
-	portCallers   = 18045
-	portReady     = 18048
-	portAddresses = 18044
-	portPeers     = 18100
-	// graceSeconds is the time from SIGTERM to SIGKILL.
-	graceSeconds = 3
-)
+// graceSeconds is the time from SIGTERM to SIGKILL.
+const graceSeconds = 3
 
 // vm is one process of the program.
 type vm struct {
 	index   int
-	seed    uint64
 	ip      string
 	folder  string
 	program string
@@ -48,13 +41,13 @@
 	exits int
 }
 
-func (v *vm) callers() string   { return fmt.Sprintf("%s:%d", v.ip, portCallers) }
-func (v *vm) addresses() string { return fmt.Sprintf("%s:%d", v.ip, portAddresses) }
+func (v *vm) callers() string   { return fmt.Sprintf("%s:%d", v.ip, loopback.PortCallers) }
+func (v *vm) addresses() string { return fmt.Sprintf("%s:%d", v.ip, loopback.PortAddresses) }
 
-func (v *vm) settings(seed uint64, vms int) string {
+func (v *vm) settings(vms int) string {
 	seeds := ""
 	for i := range min(vms, 3) {
-		seeds += fmt.Sprintf("%q,", fmt.Sprintf("%s:%d", ipOf(seed, i), 1))
+		seeds += fmt.Sprintf("%q,", fmt.Sprintf("%s:%d", loopback.Host(i), 1))
 	}
 	return fmt.Sprintf(`node = "vm-%d"
 ip = %q
@@ -85,18 +78,15 @@
 ttl_max = "5s"
 [platform]
 address = %q
-`, v.index, v.ip, v.index%2, portPeers, portPeers+5, seeds, v.callers(), v.ip, portReady, v.addresses(), graceSeconds, rateOver, rateSlack, v.store.Address())
+`, v.index, v.ip, v.index%2, loopback.PortPeers, loopback.PortPeers+5, seeds, v.callers(), v.ip, loopback.PortReady, v.addresses(), graceSeconds, rateOver, rateSlack, v.store.Address())
 }
 
-// ipOf returns the loopback address of a VM; runs with different seeds do not meet.
-func ipOf(seed uint64, i int) string { return fmt.Sprintf("127.1.%d.%d", seed%250+1, i+1) }
-
 // start runs the process.
 func (v *vm) start(ctx context.Context, vms int) error {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	file := filepath.Join(v.folder, fmt.Sprintf("vm-%d.toml", v.index))
-	if err := os.WriteFile(file, []byte(v.settings(v.seed, vms)), 0o600); err != nil {
+	if err := os.WriteFile(file, []byte(v.settings(vms)), 0o600); err != nil {
 		return errors.Wrap(err, "write settings")
 	}
 	log, err := os.OpenFile(filepath.Join(v.folder, fmt.Sprintf("vm-%d.log", v.index)), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
