Keep one piece of code for what the change wrote twice

config: one walk over the prefixes of a path (Match, MatchHost), one time limit of a request (Route.Limit; entry and gateway). timer.Pause and httpserve.Run serve node, edge and the stand-ins. leader.ViewServers makes the servers of a view for the leader and for VMs without one; an attempt's report is made in one place; the stand-ins write configurations by opconfig. A configuration is compressed only on VMs that are asked for it, not on all. Dead: desk.Withdraw, world.ZoneOut, member.Leading, the revision beside the compressed configuration.

--- a/cmd/standin/pkg/fleet/fleet.go
+++ b/cmd/standin/pkg/fleet/fleet.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -18,10 +17,12 @@
 	"github.com/azuretiller/azuretiller"
 	"github.com/azuretiller/azuretiller/cmd/standin/pkg/keyedstore"
 	"github.com/azuretiller/azuretiller/cmd/standin/pkg/loopback"
+	"github.com/azuretiller/azuretiller/cmd/standin/pkg/opconfig"
 	"github.com/azuretiller/azuretiller/cmd/standin/pkg/worker"
 	"github.com/azuretiller/azuretiller/pkg/common"
 	"github.com/azuretiller/azuretiller/pkg/edge"
 	"github.com/azuretiller/azuretiller/pkg/systemclock"
+	"github.com/azuretiller/azuretiller/pkg/timer"
 	"github.com/azuretiller/azuretiller/platform"
 )
 
@@ -98,10 +99,7 @@
 			}
 		}
 		f.mu.Unlock()
-		select {
-		case <-ctx.Done():
-		case <-time.After(heartbeat):
-		}
+		timer.Pause(ctx, heartbeat)
 	}
 }
 
@@ -113,29 +111,20 @@
 }
 
 // Configure writes a configuration; change may alter it first.
-func (f *Fleet) Configure(change func(resources []map[string]any) []map[string]any) int {
+func (f *Fleet) Configure(change func(resources []opconfig.Resource) []opconfig.Resource) int {
 	f.version += 3
-	route := func(name, prefix, kind string) map[string]any {
-		return map[string]any{"entryKind": "routes", "metadata": map[string]any{"name": name}, "spec": map[string]any{
-			"host": Host, "pathPrefix": prefix, "routeKind": kind, "timeout": "3000ms", "targetLatency": "1000ms",
-			"priority": 1, "service": "service", "maxAttempts": 2, "anonymous": false,
-		}}
-	}
-	resources := []map[string]any{
-		route("reads", "/reads/", "safe"),
-		route("orders", "/orders/", "unsafe"),
-		{"entryKind": "services", "metadata": map[string]any{"name": "service"}, "spec": map[string]any{"warmup": "1s", "coldPerS": 8.0}},
-		{"entryKind": "tenants", "metadata": map[string]any{"name": Team}, "spec": map[string]any{"apiKeys": []string{Key}, "ratePerS": 500, "burst": 500}},
-		{"entryKind": "limits", "metadata": map[string]any{}, "spec": map[string]any{"maxBodyBytes": 1 << 20}},
+	const timeout, objective = "3000ms", "1000ms"
+	resources := []opconfig.Resource{
+		opconfig.Route("reads", Host, "/reads/", "safe", timeout, objective),
+		opconfig.Route("orders", Host, "/orders/", "unsafe", timeout, objective),
+		opconfig.Service(),
+		opconfig.Team(Team, Key, 500, 500),
+		opconfig.Limits(1 << 20),
 	}
 	if change != nil {
 		resources = change(resources)
 	}
-	data, err := json.Marshal(map[string]any{"version": "r" + strconv.Itoa(f.version), "resources": resources})
-	if err != nil {
-		panic(err)
-	}
-	f.Store.Put("keyed.op", "config", data)
+	f.Store.Put("keyed.op", "config", opconfig.Encode(f.version, resources))
 	return f.version
 }
 
--- a/cmd/standin/pkg/fleet/path_test.go
+++ b/cmd/standin/pkg/fleet/path_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/azuretiller/azuretiller/cmd/standin/pkg/loopback"
+	"github.com/azuretiller/azuretiller/cmd/standin/pkg/opconfig"
 	"github.com/azuretiller/azuretiller/cmd/standin/pkg/worker"
 )
 
@@ -175,7 +176,7 @@
 
 func TestWithdrawnKeyAndNewConfiguration(t *testing.T) {
 	ctx, f := startFleet(t, 3, 2)
-	f.Configure(func(resources []map[string]any) []map[string]any {
+	f.Configure(func(resources []opconfig.Resource) []opconfig.Resource {
 		for _, r := range resources {
 			if r["entryKind"] == "tenants" {
 				r["spec"] = map[string]any{"apiKeys": []string{"new-key"}, "ratePerS": 500, "burst": 500}
@@ -206,7 +207,7 @@
 
 func TestTeamStaysWithinItsRate(t *testing.T) {
 	ctx, f := startFleet(t, 3, 4)
-	version := f.Configure(func(resources []map[string]any) []map[string]any {
+	version := f.Configure(func(resources []opconfig.Resource) []opconfig.Resource {
 		for _, r := range resources {
 			if r["entryKind"] == "tenants" {
 				r["spec"] = map[string]any{"apiKeys": []string{Key}, "ratePerS": 0.01, "burst": 5}
--- /dev/null
+++ b/cmd/standin/pkg/opconfig/doc.go
@@ -0,0 +1,2 @@
+// Package opconfig writes configurations as the platform's operators do.
+package opconfig
--- a/cmd/standin/pkg/soak/soak.go
+++ b/cmd/standin/pkg/soak/soak.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
-	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -19,7 +17,9 @@
 	"github.com/azuretiller/azuretiller/cmd/standin/pkg/faultproxy"
 	"github.com/azuretiller/azuretiller/cmd/standin/pkg/keyedstore"
 	"github.com/azuretiller/azuretiller/cmd/standin/pkg/loopback"
+	"github.com/azuretiller/azuretiller/cmd/standin/pkg/opconfig"
 	"github.com/azuretiller/azuretiller/cmd/standin/pkg/worker"
+	"github.com/azuretiller/azuretiller/pkg/timer"
 )
 
 const (
@@ -156,34 +156,21 @@
 		for _, w := range s.workers {
 			s.store.Put("keyed.servers", string(w.ID()), w.Entry("ready", sequence))
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(heartbeat):
-		}
+		timer.Pause(ctx, heartbeat)
 	}
 }
 
 // configure writes a new version of the same configuration.
 func (s *Soak) configure() {
 	s.version++
-	route := func(name, prefix, kind string) map[string]any {
-		return map[string]any{"entryKind": "routes", "metadata": map[string]any{"name": name}, "spec": map[string]any{
-			"host": host, "pathPrefix": prefix, "routeKind": kind, "timeout": "2s", "targetLatency": "800ms", "service": "service", "maxAttempts": 2,
-		}}
-	}
-	team := func(name, key string, perS, burst float64) map[string]any {
-		return map[string]any{"entryKind": "tenants", "metadata": map[string]any{"name": name},
-			"spec": map[string]any{"apiKeys": []string{key}, "ratePerS": perS, "burst": burst}}
-	}
-	data, err := json.Marshal(map[string]any{"version": "r" + strconv.Itoa(s.version), "resources": []map[string]any{
-		route("reads", "/reads/", "safe"), route("orders", "/orders/", "unsafe"),
-		{"entryKind": "services", "metadata": map[string]any{"name": "service"}, "spec": map[string]any{"warmup": "1s", "coldPerS": 8.0}},
-		team(freeTeam, freeKey, 0, 0), team(limitedTeam, limitedKey, rate, burst),
-	}})
-	if err != nil {
-		panic(err)
-	}
-	s.store.Put("keyed.op", "config", data)
+	const timeout, objective = "2s", "800ms"
+	s.store.Put("keyed.op", "config", opconfig.Encode(s.version, []opconfig.Resource{
+		opconfig.Route("reads", host, "/reads/", "safe", timeout, objective),
+		opconfig.Route("orders", host, "/orders/", "unsafe", timeout, objective),
+		opconfig.Service(),
+		opconfig.Team(freeTeam, freeKey, 0, 0),
+		opconfig.Team(limitedTeam, limitedKey, rate, burst),
+	}))
 }
 
 // wait polls until a condition holds, and returns whether it did in time.
--- a/pkg/asyncwriter/writer.go
+++ b/pkg/asyncwriter/writer.go
@@ -7,6 +7,8 @@
 	"io"
 	"sync"
 	"time"
+
+	"github.com/azuretiller/azuretiller/pkg/timer"
 )
 
 const (
@@ -54,10 +56,7 @@
 			return
 		case <-w.wake:
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(flushGap):
-		}
+		timer.Pause(ctx, flushGap)
 		w.flush()
 	}
 }
--- a/pkg/config/assemble.go
+++ b/pkg/config/assemble.go
@@ -71,14 +71,10 @@
 // MatchHost returns the route of a host with the longest prefix of a path.
 func (c *Config) MatchHost(host, path string) (Route, bool) {
 	routes := c.hosts[host]
-	for p := path; len(routes) > 0; {
+	for p := range prefixes(path) {
 		if r, ok := routes[p]; ok {
 			return r, true
 		}
-		if p == "/" || p == "" {
-			break
-		}
-		p = shorter(p)
 	}
 	return Route{}, false
 }
--- a/pkg/config/config.go
+++ b/pkg/config/config.go
@@ -1,6 +1,8 @@
 package config
 
 import (
+	"iter"
+	"strconv"
 	"strings"
 	"time"
 
@@ -88,16 +90,22 @@
 
 // Match returns the route with the longest prefix that serves a path and method.
 func (c *Config) Match(method, path string) (Route, bool) {
-	for p := path; ; {
+	for p := range prefixes(path) {
 		for _, r := range c.routes[p] {
 			if listed(r.Methods, method) {
 				return r, true
 			}
 		}
-		if p == "/" || p == "" {
-			return Route{}, false
+	}
+	return Route{}, false
+}
+
+// prefixes yields a path and its prefixes, the longest first.
+func prefixes(path string) iter.Seq[string] {
+	return func(yield func(string) bool) {
+		for p := path; yield(p) && p != "/" && p != ""; {
+			p = shorter(p)
 		}
-		p = shorter(p)
 	}
 }
 
@@ -114,6 +122,15 @@
 	return listed(t.Allow, string(service))
 }
 
+// Limit returns the time limit of a request: the route's, or the caller's, in milliseconds as text, when that is shorter.
+func (r Route) Limit(callers string) time.Duration {
+	ms, err := strconv.ParseInt(callers, 10, 64)
+	if err != nil || ms <= 0 {
+		return r.Timeout
+	}
+	return min(r.Timeout, time.Duration(ms)*time.Millisecond)
+}
+
 // IsIdempotent reports whether a request of the route with a method may run more than once.
 func (r Route) IsIdempotent(method string) bool {
 	switch r.Idempotent {
--- a/pkg/desk/desk.go
+++ b/pkg/desk/desk.go
@@ -332,13 +332,6 @@
 // Turned notes a request of the service that was turned away before it came to the desk.
 func (d *Desk) Turned(now time.Time) { d.recent.add(now, false) }
 
-// Withdraw drops a waiting request whose caller left.
-func (d *Desk) Withdraw(key Key) {
-	for _, q := range d.queues {
-		q.waiting.Remove(func(w *waiter) bool { return w.Key == key })
-	}
-}
-
 // Forget frees what a VM that is down had waiting or running.
 func (d *Desk) Forget(now time.Time, vm string) []Decision {
 	for ticket, a := range d.running {
--- a/pkg/edge/control.go
+++ b/pkg/edge/control.go
@@ -18,8 +18,8 @@
 	"github.com/azuretiller/azuretiller/platform"
 )
 
-// crossing is what sending a request to another zone costs, as a share of its worth: links between zones are paid by the byte.
 const (
+	// crossing is what sending a request to another zone costs, as a share of its worth: links between zones are paid by the byte.
 	crossing = 0.03
 	// crossingKB is what each 1,024 bytes of the answer add.
 	crossingKB = 0.0035
@@ -214,13 +214,13 @@
 		case member.Send:
 			e.send(v.To, v.Message)
 		case member.ReadLeader:
-			go e.readLeader(ctx)
+			go func() { e.deliver(ctx, e.readLeader(ctx)) }()
 		case member.Claim:
 			go e.claim(ctx, v)
 		case member.Lead:
 			e.lead(v.Term)
 		case member.StepDown:
-			e.note("stepping down", map[string]any{"newer": v.Newer})
+			e.note("stepping down", log.Fields{"newer": v.Newer})
 			e.leader = nil
 		case member.Note:
 			e.note(v.Name, v.Fields)
@@ -228,19 +228,11 @@
 	}
 }
 
-func (e *Edge) readLeader(ctx context.Context) {
-	limited, cancel := context.WithTimeout(ctx, leadTimeout)
-	defer cancel()
-	record, next, err := e.registry.ReadLeader(limited, 0, 0)
-	e.deliver(ctx, leaderRead{record, next, err})
-}
-
-// confirm reads the leader record for a leader that may be cut off from its successor.
-func (e *Edge) confirm() {
-	ctx, cancel := context.WithTimeout(e.running, leadTimeout)
+func (e *Edge) readLeader(ctx context.Context) leaderRead {
+	ctx, cancel := context.WithTimeout(ctx, leadTimeout)
 	defer cancel()
 	record, next, err := e.registry.ReadLeader(ctx, 0, 0)
-	e.deliver(e.running, confirmed{record, next, err})
+	return leaderRead{record, next, err}
 }
 
 func (e *Edge) claim(ctx context.Context, c member.Claim) {
@@ -257,7 +249,7 @@
 	e.feed.serversRead = time.Time{}
 	e.runLeader(e.leader.SetServers(e.common.Clock.Now(), serversOf(e.member.View())))
 	e.feed.settingsAt, e.feed.serversAt = time.Time{}, time.Time{}
-	e.note("leading", map[string]any{"term": term, "version": e.revision()})
+	e.note("leading", log.Fields{"term": term, "version": e.revision()})
 }
 
 func (e *Edge) params() leader.Params {
@@ -277,7 +269,7 @@
 	if e.leader != nil {
 		e.leader.SetParams(e.params())
 	}
-	e.note("reload", map[string]any{"vm": e.self.ID, "retry_ratio": s.Bounds.RetryRatio, "rate_over": s.Bounds.RateOver, "grace": s.Bounds.Grace})
+	e.note("reload", log.Fields{"vm": e.self.ID, "retry_ratio": s.Bounds.RetryRatio, "rate_over": s.Bounds.RateOver, "grace": s.Bounds.Grace})
 }
 
 func (e *Edge) runLeader(effects []leader.Effect) {
@@ -286,7 +278,7 @@
 		case leader.Send:
 			e.send(v.To, v.Message)
 		case leader.Confirm:
-			go e.confirm()
+			go func() { e.deliver(e.running, confirmed(e.readLeader(e.running))) }()
 		case leader.Note:
 			e.note(v.Name, v.Fields)
 		}
@@ -342,19 +334,9 @@
 // ownServers returns the servers as this VM read them itself.
 func (e *Edge) ownServers(now time.Time) []message.Server {
 	const unknown = 50
-	var servers []message.Server
-	for service, list := range e.world.Desk(now, e.config) {
-		for _, s := range list {
-			servers = append(servers, message.Server{
-				ID:      s.ID,
-				Service: service,
-				Address: s.Address,
-				Zone:    s.Zone,
-				Slots:   s.Slots,
-				Closed:  s.Closed || now.Before(s.ColdUntil),
-				Success: unknown,
-			})
-		}
+	servers := leader.ViewServers(now, e.world.Desk(now, e.config))
+	for i := range servers {
+		servers[i].Success = unknown
 	}
 	return servers
 }
@@ -362,7 +344,7 @@
 // serveDump writes the state of the process.
 func (e *Edge) serveDump(w http.ResponseWriter, r *http.Request) {
 	answer := make(chan []byte, 1)
-	e.post(func() {
+	e.post(e.inbox, func() {
 		leaderID, address := e.member.Leader()
 		data, err := json.MarshalIndent(map[string]any{
 			"vm":       e.self.ID,
@@ -386,5 +368,3 @@
 	case <-r.Context().Done():
 	}
 }
-
-func fieldsOf(m map[string]any) log.Fields { return log.Fields(m) }
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
@@ -15,6 +16,7 @@
 	"github.com/azuretiller/azuretiller/pkg/common"
 	"github.com/azuretiller/azuretiller/pkg/config"
 	"github.com/azuretiller/azuretiller/pkg/gateway"
+	"github.com/azuretiller/azuretiller/pkg/httpserve"
 	"github.com/azuretiller/azuretiller/pkg/invariant"
 	"github.com/azuretiller/azuretiller/pkg/leader"
 	"github.com/azuretiller/azuretiller/pkg/link"
@@ -76,8 +78,8 @@
 	config  *config.Config
 	feed    feed
 	leaving bool
-	// raw is the newest configuration in the platform's format, for VMs that cannot read the store.
-	raw atomic.Pointer[rawConfig]
+	// zipped returns the newest configuration in the platform's format, for VMs that cannot read the store.
+	zipped atomic.Pointer[func() []byte]
 }
 
 // New returns a VM that is not running yet.
@@ -128,7 +130,7 @@
 	group, running := errgroup.WithContext(running)
 	e.running = running
 	for _, s := range servers {
-		group.Go(func() error { return s.run() })
+		group.Go(func() error { return httpserve.Run(s.server, s.listener) })
 	}
 	group.Go(func() error { return e.link.Run(running) })
 	group.Go(func() error { e.timer.Run(running); return nil })
@@ -163,13 +165,6 @@
 	listener net.Listener
 }
 
-func (s httpServer) run() error {
-	if err := s.server.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
-		return errors.Wrap(err, "serve HTTP")
-	}
-	return nil
-}
-
 func (e *Edge) servers(ctx context.Context) ([]httpServer, error) {
 	directory := gateway.NewDirectory(e.common.Log, e.State, e.settings.Callers, e.settings.Bounds.LongestTTL)
 	handlers := []struct {
@@ -203,46 +198,35 @@
 	grace := time.Duration(e.grace.Load())
 	e.common.Log.WithField("grace", grace).Info("leaving")
 	started := e.common.Clock.Now()
-	e.post(func() { e.leave() })
-	pause(ctx, time.Duration(float64(grace)*lingerShare))
+	e.post(e.inbox, func() { e.leave() })
+	timer.Pause(ctx, time.Duration(float64(grace)*lingerShare))
 	for e.gateway.Running() > 0 && ctx.Err() == nil && e.common.Clock.Now().Sub(started) < time.Duration(float64(grace)*stopShare) {
-		pause(ctx, drainPoll)
+		timer.Pause(ctx, drainPoll)
 	}
 	e.common.Log.WithField("running", e.gateway.Running()).Info("left")
 }
 
-func pause(ctx context.Context, span time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(span):
-	}
-}
-
 // incoming hands a message to the control goroutine.
 func (e *Edge) incoming(in link.Incoming) {
 	switch in.Body.(type) {
 	case message.Ask, message.Report, message.Grant:
-		e.post(in)
+		e.post(e.inbox, in)
 	default:
-		select {
-		case e.urgent <- in:
-		default:
-			e.common.Metrics.Counter("events_dropped").Inc(1)
-		}
+		e.post(e.urgent, in)
 	}
 }
 
 // post hands an event to the control goroutine, or drops it when too many wait.
-func (e *Edge) post(event any) {
+func (e *Edge) post(to chan<- any, event any) {
 	select {
-	case e.inbox <- event:
+	case to <- event:
 	default:
 		e.common.Metrics.Counter("events_dropped").Inc(1)
 	}
 }
 
-func (e *Edge) note(name string, fields map[string]any) {
-	e.common.Log.WithFields(fieldsOf(fields)).Info(name)
+func (e *Edge) note(name string, fields log.Fields) {
+	e.common.Log.WithFields(fields).Info(name)
 }
 
 // send sends a datagram; one that cannot be sent is like one that was lost.
--- a/pkg/edge/feed.go
+++ b/pkg/edge/feed.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"time"
 
+	"github.com/apex/log"
+
 	"github.com/azuretiller/azuretiller"
 )
 
@@ -146,7 +148,7 @@
 		e.feed.failing = now
 		e.common.Log.WithError(err).Warn("store lost")
 	case err == nil && !e.feed.failing.IsZero():
-		e.note("store back", map[string]any{"away": now.Sub(e.feed.failing)})
+		e.note("store back", log.Fields{"away": now.Sub(e.feed.failing)})
 		e.feed.failing = time.Time{}
 		e.world.Back(now)
 	}
--- a/pkg/edge/settings.go
+++ b/pkg/edge/settings.go
@@ -6,8 +6,10 @@
 	"context"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/cockroachdb/errors"
 
 	"github.com/azuretiller/azuretiller/platform"
@@ -20,20 +22,14 @@
 	largestConfig = 16 << 20
 )
 
-// rawConfig is a configuration in the platform's format, compressed.
-type rawConfig struct {
-	revision uint64
-	zipped   []byte
-}
-
 func (e *Edge) serveSettings(w http.ResponseWriter, _ *http.Request) {
-	raw := e.raw.Load()
-	if raw == nil {
+	zipped := e.zipped.Load()
+	if zipped == nil {
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
 	w.Header().Set("Content-Type", "application/gzip")
-	_, _ = w.Write(raw.zipped)
+	_, _ = w.Write((*zipped)())
 }
 
 // setConfig takes a configuration unless this VM has a newer one, and reports whether it did.
@@ -46,15 +42,21 @@
 	if e.config != nil && c.Revision <= e.config.Revision {
 		return false
 	}
+	// Most VMs are never asked for it.
+	zipped := sync.OnceValue(func() []byte { return zip(data) })
+	e.zipped.Store(&zipped)
+	e.config = c
+	e.note("configuration", log.Fields{"version": c.Version, "source": source})
+	return true
+}
+
+func zip(data []byte) []byte {
 	var zipped bytes.Buffer
 	writer := gzip.NewWriter(&zipped)
 	// A buffer takes every write.
 	_, _ = writer.Write(data)
 	_ = writer.Close()
-	e.raw.Store(&rawConfig{revision: c.Revision, zipped: zipped.Bytes()})
-	e.config = c
-	e.note("configuration", map[string]any{"version": c.Version, "source": source})
-	return true
+	return zipped.Bytes()
 }
 
 // fetchSettings gets the newest configuration of another VM.
--- a/pkg/entry/forward.go
+++ b/pkg/entry/forward.go
@@ -117,7 +117,7 @@
 
 // forward offers the request to pools until one answers it, and returns what was given to the caller.
 func (c *call) forward(ctx context.Context, body *replay.Body, head exchange.Request) once.Answer {
-	deadline := c.started.Add(c.timeout())
+	deadline := c.started.Add(c.route.Limit(c.request.Header.Get(headers.Timeout)))
 	refusal := exchange.Response{Code: azuretiller.CodeNoServer, RetryAfter: time.Second}
 	pools := c.handler.picker.Order(c.snapshot.Topology[c.route.Service])
 	for _, p := range pools[:min(len(pools), mostPools)] {
--- a/pkg/entry/handler.go
+++ b/pkg/entry/handler.go
@@ -146,16 +146,6 @@
 	return azuretiller.CodeOK
 }
 
-// timeout returns the route's time limit, or the caller's when that is shorter.
-func (c *call) timeout() time.Duration {
-	limit := c.route.Timeout
-	ms, err := strconv.ParseInt(c.request.Header.Get(headers.Timeout), 10, 64)
-	if err != nil || ms <= 0 {
-		return limit
-	}
-	return min(limit, time.Duration(ms)*time.Millisecond)
-}
-
 // report writes the log line and the metrics of the request.
 func (c *call) report() {
 	h := c.handler
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -88,7 +88,7 @@
 	if code := c.identify(); code != azuretiller.CodeOK {
 		return code
 	}
-	c.limit = c.timeout()
+	c.limit = c.route.Limit(c.request.Header.Get(platform.HeaderDeadline))
 	c.headers = c.request.Header.Clone()
 	headers.StripHopByHop(c.headers)
 	for _, name := range []string{"Authorization", platform.HeaderTeam, platform.HeaderInstance, platform.HeaderDeadline} {
@@ -119,16 +119,6 @@
 	return azuretiller.CodeOK
 }
 
-// timeout returns the route's time limit, or the caller's when that is shorter.
-func (c *call) timeout() time.Duration {
-	limit := c.route.Timeout
-	ms, err := strconv.ParseInt(c.request.Header.Get(platform.HeaderDeadline), 10, 64)
-	if err != nil || ms <= 0 {
-		return limit
-	}
-	return min(limit, time.Duration(ms)*time.Millisecond)
-}
-
 // readBody reads the whole body first, so that it can be sent again and callers who leave are noticed.
 func (c *call) readBody() azuretiller.Code {
 	most := c.state.Config.Limits.Body
--- a/pkg/gateway/params.go
+++ b/pkg/gateway/params.go
@@ -9,13 +9,13 @@
 	// An answer takes a few milliseconds inside a region.
 	askRepeat   = 70 * time.Millisecond
 	askPatience = 230 * time.Millisecond
+	// reportRepeat is how soon a result is reported again, and reportTries how often.
+	reportRepeat = 150 * time.Millisecond
+	reportTries  = 4
 	// leaderWait is how long a request waits for a configuration and a leader that are expected soon, and leaderPoll the time
 	// between two looks.
 	leaderWait = 300 * time.Millisecond
 	leaderPoll = 10 * time.Millisecond
-	// reportRepeat and reportTries do the same for results.
-	reportRepeat = 150 * time.Millisecond
-	reportTries  = 4
 	// leastLeft is the time that must be left for one more attempt.
 	leastLeft = 60 * time.Millisecond
 	// hedgeShare is the share of the objective after which a request that may run twice is sent to a second server.
--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -24,6 +24,11 @@
 	alone bool
 }
 
+// report returns what the leader is told of the attempt.
+func (a attempt) report() message.Report {
+	return message.Report{Ticket: a.grant.Ticket, Result: a.answer.Result, Took: a.took, Bytes: len(a.answer.Body), Term: a.grant.Term}
+}
+
 // run makes attempts until one succeeds or none is left.
 func (c *call) run(ctx context.Context) {
 	attempts, stop := context.WithCancel(ctx)
@@ -64,7 +69,8 @@
 			}
 			if ctx.Err() == nil && c.mayRetry(ctx, a, pending) {
 				pending++
-				launch(&message.Report{Ticket: a.grant.Ticket, Result: a.answer.Result, Took: a.took, Bytes: len(a.answer.Body), Term: a.grant.Term}, false)
+				last := a.report()
+				launch(&last, false)
 				continue
 			}
 			c.settle(a)
@@ -158,7 +164,7 @@
 	if a.grant.Server == "" || a.leader == "" {
 		return
 	}
-	r := message.Report{Ticket: a.grant.Ticket, Result: a.answer.Result, Took: a.took, Bytes: len(a.answer.Body), Term: a.grant.Term}
+	r := a.report()
 	if r.Ticket == 0 {
 		r.Server = a.grant.Server
 	}
--- /dev/null
+++ b/pkg/httpserve/doc.go
@@ -0,0 +1,2 @@
+// Package httpserve serves HTTP until the server is closed.
+package httpserve
--- a/pkg/leader/leader.go
+++ b/pkg/leader/leader.go
@@ -138,6 +138,15 @@
 
 // refreshServers notes a change of the view if VMs would place work differently on their own.
 func (l *Leader) refreshServers(now time.Time, services map[azuretiller.ServiceID][]desk.Server) {
+	list := ViewServers(now, services)
+	if !slices.Equal(list, l.servers) {
+		l.changed = true
+	}
+	l.servers = list
+}
+
+// ViewServers returns servers as VMs need to know them when no leader answers, ordered by id.
+func ViewServers(now time.Time, services map[azuretiller.ServiceID][]desk.Server) []message.Server {
 	var list []message.Server
 	for service, servers := range services {
 		for _, s := range servers {
@@ -152,13 +161,7 @@
 		}
 	}
 	slices.SortFunc(list, func(a, b message.Server) int { return cmp.Compare(a.ID, b.ID) })
-	if !slices.EqualFunc(list, l.servers, func(a, b message.Server) bool {
-		a.Success, b.Success = 0, 0
-		return a == b
-	}) {
-		l.changed = true
-	}
-	l.servers = list
+	return list
 }
 
 func (l *Leader) desk(service azuretiller.ServiceID) *desk.Desk {
--- a/pkg/leader/members.go
+++ b/pkg/leader/members.go
@@ -28,8 +28,7 @@
 
 // Announce tells all VMs which configuration there is.
 func (l *Leader) Announce() []Effect {
-	known := l.hello()
-	known.Known = true
+	known := l.hello(true)
 	var effects []Effect
 	for to := range l.members {
 		effects = append(effects, Send{To: to, Message: message.Envelope{Body: known}})
@@ -37,8 +36,9 @@
 	return effects
 }
 
-func (l *Leader) hello() message.BeatAnswer {
-	answer := message.BeatAnswer{Term: l.term, Leads: true, Leader: l.self, Address: l.address, Resigned: l.resigned}
+// hello tells who leads; known says whether the VM that it goes to is a member.
+func (l *Leader) hello(known bool) message.BeatAnswer {
+	answer := message.BeatAnswer{Term: l.term, Leads: true, Leader: l.self, Address: l.address, Resigned: l.resigned, Known: known}
 	if l.config != nil {
 		answer.Settings = l.config.Revision
 	}
@@ -51,7 +51,7 @@
 	switch {
 	case m == nil && b.VM == "":
 		// The VM thinks that it is known: the answer asks for the whole heartbeat.
-		return []Effect{Send{To: from, Message: message.Envelope{Call: call, Body: l.hello()}}}
+		return []Effect{Send{To: from, Message: message.Envelope{Call: call, Body: l.hello(false)}}}
 	case m == nil:
 		m = &member{since: now}
 		l.members[from] = m
@@ -69,9 +69,7 @@
 	m.beat = b
 	m.heard = now
 	delete(l.lost, from)
-	answer := l.hello()
-	answer.Known = true
-	effects = append(effects, Send{To: from, Message: message.Envelope{Call: call, Body: answer}})
+	effects = append(effects, Send{To: from, Message: message.Envelope{Call: call, Body: l.hello(true)}})
 	if b.View != l.version && now.Sub(m.viewAt) > viewRepeat && !l.changed && l.version > 0 {
 		m.viewAt = now
 		effects = append(effects, sendParts(from, l.sent)...)
@@ -106,7 +104,7 @@
 			delete(l.lost, to)
 			continue
 		}
-		effects = append(effects, Send{To: to, Message: message.Envelope{Body: l.hello()}})
+		effects = append(effects, Send{To: to, Message: message.Envelope{Body: l.hello(false)}})
 	}
 	return effects
 }
--- a/pkg/leader/requests.go
+++ b/pkg/leader/requests.go
@@ -38,8 +38,7 @@
 			Send{To: from, Message: message.Envelope{Call: call, Body: grant}},
 			Note{"refused", fields})
 	}
-	fingerprint := crash.Fingerprint(strconv.FormatUint(a.Fingerprint, 16))
-	if admitted, wait := l.crashes.Admit(fingerprint, now); !admitted {
+	if admitted, wait := l.crashes.Admit(fingerprint(a.Fingerprint), now); !admitted {
 		return refuse(azuretiller.CodeHeldBack, wait)
 	}
 	if a.Attempt <= 1 {
@@ -78,6 +77,10 @@
 	return append(effects, l.carryOut(now, service, decisions)...)
 }
 
+func fingerprint(hash uint64) crash.Fingerprint {
+	return crash.Fingerprint(strconv.FormatUint(hash, 16))
+}
+
 func (l *Leader) limit(now time.Time, team azuretiller.TeamID) meter.Limit {
 	if l.config == nil {
 		return meter.Limit{}
@@ -124,7 +127,7 @@
 				service:     service,
 				server:      d.Server.ID,
 				request:     d.ID,
-				fingerprint: crash.Fingerprint(strconv.FormatUint(d.Fingerprint, 16)),
+				fingerprint: fingerprint(d.Fingerprint),
 				until:       d.Deadline.Add(answerMemory),
 			}
 		}
--- a/pkg/member/candidate.go
+++ b/pkg/member/candidate.go
@@ -65,10 +65,7 @@
 	m.step = polling
 	m.at = now.Add(pollTime)
 	m.votes = map[string]bool{}
-	peers := slices.Clone(m.seeds)
-	for _, other := range m.view.Members {
-		peers = append(peers, other.Peer)
-	}
+	peers := append(m.Peers(), m.seeds...)
 	slices.Sort(peers)
 	var effects []Effect
 	for _, peer := range slices.Compact(peers) {
--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -72,9 +72,6 @@
 // Term returns the newest term that the VM knows.
 func (m *Member) Term() azuretiller.Term { return m.term }
 
-// Leading reports whether this VM leads.
-func (m *Member) Leading() bool { return m.leading }
-
 // Leader returns the id and host:port of the leader, empty when none is known.
 func (m *Member) Leader() (azuretiller.VMID, string) { return m.leader, m.address }
 
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -9,7 +9,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/azuretiller/azuretiller"
@@ -18,6 +17,7 @@
 	"github.com/azuretiller/azuretiller/pkg/dispatch"
 	"github.com/azuretiller/azuretiller/pkg/entry"
 	"github.com/azuretiller/azuretiller/pkg/handshake"
+	"github.com/azuretiller/azuretiller/pkg/httpserve"
 	"github.com/azuretiller/azuretiller/pkg/idstore"
 	"github.com/azuretiller/azuretiller/pkg/invariant"
 	"github.com/azuretiller/azuretiller/pkg/mesh"
@@ -129,8 +129,8 @@
 	callers := n.server(n.entry)
 	operator := n.server(operators)
 	group.Go(func() error { return n.mesh.Serve(running, l.Peer) })
-	group.Go(func() error { return serve(callers, l.Caller) })
-	group.Go(func() error { return serve(operator, l.Operator) })
+	group.Go(func() error { return httpserve.Run(callers, l.Caller) })
+	group.Go(func() error { return httpserve.Run(operator, l.Operator) })
 	group.Go(func() error { n.timer.Run(running); return nil })
 	group.Go(func() error { n.control(running); return nil })
 	group.Go(func() error { n.every(running, poolTick, n.home.Tick); return nil })
@@ -161,13 +161,6 @@
 	}
 }
 
-func serve(server *http.Server, l net.Listener) error {
-	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-		return errors.Wrap(err, "serve HTTP")
-	}
-	return nil
-}
-
 func (n *Node) every(ctx context.Context, interval time.Duration, work func()) {
 	wake := n.timer.Subscribe(interval)
 	for {
@@ -185,20 +178,13 @@
 func (n *Node) drain(ctx context.Context, callers *http.Server) {
 	n.common.Log.WithField("vm", n.self.ID).Info("leaving")
 	n.post(control.LeaveBegun{At: n.common.Clock.Now()})
-	pause(ctx, n.settings.Drain)
+	timer.Pause(ctx, n.settings.Drain)
 	_ = callers.Shutdown(ctx)
 	for n.home.Running() > 0 && ctx.Err() == nil {
-		pause(ctx, drainPoll)
+		timer.Pause(ctx, drainPoll)
 	}
 	n.common.Log.WithField("vm", n.self.ID).Info("left")
 }
 
-func pause(ctx context.Context, span time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(span):
-	}
-}
-
 // Kill stops the VM at once, as a crash would.
 func (n *Node) Kill() { n.stop() }
--- a/pkg/timer/service.go
+++ b/pkg/timer/service.go
@@ -51,6 +51,14 @@
 	}
 }
 
+// Pause waits for a span of time or until the context ends.
+func Pause(ctx context.Context, span time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(span):
+	}
+}
+
 // wake serves the subscribers that are due and returns the time until the next one is, at least one step.
 func (s *Service) wake(now time.Time) time.Duration {
 	s.mu.Lock()
--- a/pkg/world/world.go
+++ b/pkg/world/world.go
@@ -203,6 +203,3 @@
 	}
 	return b
 }
-
-// ZoneOut reports whether a zone takes no new work.
-func (w *World) ZoneOut(zone azuretiller.Zone) bool { return w.out[zone] }
