Wait for settings only half of the time in which they must be in force

Ruled out: the cleanup before (the wait is as old as the code), the lead and the fetch between VMs. The wait is now half of the deployment's time to apply, from its settings.

--- a/pkg/edge/edge_test.go
+++ b/pkg/edge/edge_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -31,3 +32,31 @@
 	assert.Equal(t, azuretiller.InstanceID("new"), e.State().Servers[0].ID, "the view is newer than an old read")
 	assert.Equal(t, azuretiller.InstanceID("new"), serversOf(e.member.View())["s"][0].ID)
 }
+
+// deafRegistry answers a waiting read of the settings only at the end of its wait, which it tells the test.
+type deafRegistry struct {
+	azuretiller.Registry
+	waits chan time.Duration
+}
+
+func (r deafRegistry) ReadSettings(_ context.Context, _ azuretiller.Offset, wait time.Duration) (azuretiller.SettingsPage, error) {
+	r.waits <- wait
+	return azuretiller.SettingsPage{}, nil
+}
+
+func (r deafRegistry) ReadServers(context.Context, azuretiller.Offset, time.Duration) (azuretiller.ServersPage, error) {
+	return azuretiller.ServersPage{}, nil
+}
+
+// TestDeafReadLeavesTimeToApply replays a store whose waiting reads hear nothing of a new configuration: the wait must leave half
+// of the time in which the configuration has to be in force.
+func TestDeafReadLeavesTimeToApply(t *testing.T) {
+	for _, apply := range []time.Duration{500 * time.Millisecond, 2 * time.Second, 2500 * time.Millisecond, time.Minute} {
+		c := &common.Common{Log: &log.Logger{Handler: discard.New()}, Clock: systemclock.New(), Metrics: tally.NoopScope}
+		r := deafRegistry{waits: make(chan time.Duration, 1)}
+		e := New(c, platform.Settings{VM: "vm", Zone: "z", Peer: "127.0.0.1:1", Bounds: platform.Bounds{ConfigApply: apply}}, r)
+		e.lead(1)
+		e.read(t.Context(), c.Clock.Now())
+		assert.LessOrEqual(t, <-r.waits, apply/2)
+	}
+}
--- a/pkg/edge/feed.go
+++ b/pkg/edge/feed.go
@@ -11,8 +11,10 @@
 )
 
 const (
-	// settingsWait is how long the leader's read of the settings waits for a change.
-	settingsWait = 2 * time.Second
+	// waitShare is the share of the time to apply a configuration that the leader's read of the settings waits for a change,
+	// since a waiting read may hear nothing of it, and longestWait bounds the wait.
+	waitShare   = 0.5
+	longestWait = 2 * time.Second
 	// serversGap is the time between the leader's reads of the registry of servers.
 	serversGap = 400 * time.Millisecond
 	// refreshGap is the time after which servers that are no longer cold are noticed.
@@ -77,7 +79,7 @@
 
 // read begins the reads that are due: the leader reads for all, a VM that is out of touch for itself.
 func (e *Edge) read(ctx context.Context, now time.Time) {
-	wait, gap := settingsWait, serversGap
+	wait, gap := e.settingsWait(), serversGap
 	if e.leader == nil {
 		if e.member.OutFor(now) < aloneAfter {
 			return
@@ -107,6 +109,14 @@
 	}
 }
 
+func (e *Edge) settingsWait() time.Duration {
+	apply := e.settings.Bounds.ConfigApply
+	if apply <= 0 {
+		return longestWait
+	}
+	return min(longestWait, time.Duration(waitShare*float64(apply)))
+}
+
 // deliver hands the result of a read to the control goroutine, which waits for it.
 func (e *Edge) deliver(ctx context.Context, event any) {
 	select {
