Keep the lead with strong VMs when the store comes back, and let all VMs find a new leader

The store was away for all from 18.1 to 22.5 s; the leader asked for a successor as it does when it alone is turned away, and the VM whose turn to read came first after the return took the lead, a weak one. It was overloaded and fell silent; its successor knew only the 31 VMs of the first views of that term, and the other 90 found it by reading the leader record 40 ms apart, up to 5 s later. Ruled out: links (a VM that polled 120 others got 118 votes in 150 ms).

Later candidates of a leader that still answers now claim only after the store answered them twice, 0.35 s apart; the leader tries the store every 0.2 s; a weak leader gives way after 1 s. VMs remember peers of earlier views for 30 s, greet all of them when they lead, and ask four others each 0.2 s while they wait for their turn.

Also: a VM that just started asks the VM of its zone again after 60 ms when that has no configuration yet, not after 0.4 s (TestZoneWithoutConfigurationIsAskedAgainSoon).

--- a/pkg/edge/control.go
+++ b/pkg/edge/control.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
 
 	"github.com/azuretiller/azuretiller"
 	"github.com/azuretiller/azuretiller/pkg/desk"
@@ -134,13 +135,17 @@
 
 // takeFetched takes the configuration of another VM. The first VM of the zone may not have it yet; then the leader is asked.
 func (e *Edge) takeFetched(ctx context.Context, now time.Time, f fetched) {
-	if f.err != nil {
+	switch {
+	case errors.Is(f.err, errNoSettings):
+		// All VMs just started, and the one that was asked is fetching too.
+	case f.err != nil:
 		e.common.Log.WithError(f.err).WithField("from", f.from).Warn("configuration not fetched")
 		e.feed.fetchFailed = true
 		e.feed.fetchAt = now.Add(fetchRetry)
 		return
+	default:
+		e.newConfig(now, f.data, f.from)
 	}
-	e.newConfig(now, f.data, f.from)
 	e.feed.fetchFailed = e.revision() < e.feed.wanted && now.Sub(e.feed.wantedAt) > fetchRetry
 	if e.revision() < e.feed.wanted {
 		e.feed.fetchAt = now.Add(headRetry)
--- a/pkg/edge/edge_test.go
+++ b/pkg/edge/edge_test.go
@@ -60,3 +60,17 @@
 		assert.LessOrEqual(t, <-r.waits, apply/2)
 	}
 }
+
+// TestZoneWithoutConfigurationIsAskedAgainSoon replays the start of all VMs at once: the VM of the zone that others ask first has no
+// configuration yet when they ask.
+func TestZoneWithoutConfigurationIsAskedAgainSoon(t *testing.T) {
+	c := &common.Common{Log: &log.Logger{Handler: discard.New()}, Clock: systemclock.New(), Metrics: tally.NoopScope}
+	e := New(c, platform.Settings{VM: "vm", Zone: "z", Peer: "127.0.0.1:1"}, nil)
+	now := c.Clock.Now()
+	e.feed.wanted, e.feed.wantedAt, e.feed.wantedFrom = 5, now, "127.0.0.1:3"
+	e.takeFetched(t.Context(), now, fetched{err: errNoSettings, from: "127.0.0.1:2"})
+	assert.Equal(t, now.Add(headRetry), e.feed.fetchAt)
+	assert.False(t, e.feed.fetchFailed, "the VM of the zone is asked again")
+	e.takeFetched(t.Context(), now.Add(fetchRetry+time.Millisecond), fetched{err: errNoSettings, from: "127.0.0.1:2"})
+	assert.True(t, e.feed.fetchFailed, "the leader is asked")
+}
--- a/pkg/edge/feed.go
+++ b/pkg/edge/feed.go
@@ -23,7 +23,7 @@
 	aloneGap   = 900 * time.Millisecond
 	aloneAfter = time.Second
 	// failureGap is the time between reads that fail.
-	failureGap = 300 * time.Millisecond
+	failureGap = 200 * time.Millisecond
 	// storeLost is how long a read may take before the leader asks for a successor that can read; the store answers in
 	// milliseconds, and a configuration must be in force within 2 s.
 	storeLost = 500 * time.Millisecond
--- a/pkg/edge/settings.go
+++ b/pkg/edge/settings.go
@@ -22,6 +22,9 @@
 	largestConfig = 16 << 20
 )
 
+// errNoSettings means that the VM that was asked has no configuration yet.
+var errNoSettings = errors.New("the VM has no configuration yet")
+
 func (e *Edge) serveSettings(w http.ResponseWriter, _ *http.Request) {
 	zipped := e.zipped.Load()
 	if zipped == nil {
@@ -72,7 +75,11 @@
 		return nil, errors.Wrap(err, "fetch settings")
 	}
 	defer func() { _ = response.Body.Close() }()
-	if response.StatusCode != http.StatusOK {
+	switch response.StatusCode {
+	case http.StatusOK:
+	case http.StatusNotFound:
+		return nil, errNoSettings
+	default:
 		return nil, errors.Newf("fetch settings: status %d", response.StatusCode)
 	}
 	reader, err := gzip.NewReader(io.LimitReader(response.Body, largestConfig))
--- a/pkg/leader/params.go
+++ b/pkg/leader/params.go
@@ -18,9 +18,9 @@
 const (
 	// silence is the time without a heartbeat after which a VM is taken for down; four heartbeats are lost then.
 	silence = 1300 * time.Millisecond
-	// A leader gives way to a VM with strongerBy times its processor time that has been there for steadyFor.
+	// A leader gives way to a VM with strongerBy times its processor time that has been there for steadyFor, three heartbeats.
 	strongerBy = 2
-	steadyFor  = 3 * time.Second
+	steadyFor  = time.Second
 	// viewGap bounds how often the view is sent to all VMs, and viewRepeat how soon to one that did not confirm it.
 	viewGap    = 150 * time.Millisecond
 	viewRepeat = 400 * time.Millisecond
--- a/pkg/member/candidate.go
+++ b/pkg/member/candidate.go
@@ -1,7 +1,6 @@
 package member
 
 import (
-	"slices"
 	"time"
 
 	"github.com/apex/log"
@@ -24,11 +23,16 @@
 // delay waits for the candidates that come before this VM.
 func (m *Member) delay(now time.Time) {
 	m.step = delaying
+	m.inquireAt = now.Add(inquireGap)
 	rank := m.rank()
 	if rank < candidates {
 		m.at = now.Add(time.Duration(rank) * firstStep)
 		return
 	}
+	if m.resigned {
+		m.at = now.Add(resignedStart + time.Duration(rank-candidates)*laterStep)
+		return
+	}
 	m.at = now.Add(laterStart + time.Duration(rank)*laterStep)
 }
 
@@ -65,12 +69,10 @@
 	m.step = polling
 	m.at = now.Add(pollTime)
 	m.votes = map[string]bool{}
-	peers := append(m.Peers(), m.seeds...)
-	slices.Sort(peers)
 	var effects []Effect
-	for _, peer := range slices.Compact(peers) {
-		if peer != m.self.Peer && peer != m.address {
-			effects = append(effects, Send{To: peer, Message: message.Envelope{Body: message.Poll{Term: m.term}}})
+	for _, peer := range m.others() {
+		if peer != m.address {
+			effects = append(effects, m.ask(peer))
 		}
 	}
 	if len(effects) == 0 || m.term == 0 {
@@ -81,6 +83,31 @@
 	return effects
 }
 
+func (m *Member) ask(peer string) Effect {
+	return Send{To: peer, Message: message.Envelope{Body: message.Poll{Term: m.term}}}
+}
+
+// inquire asks a few other VMs who leads while this one waits for its turn to read the leader record.
+//
+// The load it answers: a new leader that knows only a part of the fleet cannot call the others. The news spreads from VM to VM
+// within a few rounds, without calls to the store.
+func (m *Member) inquire(now time.Time) []Effect {
+	m.inquireAt = now.Add(inquireGap)
+	m.inquiries++
+	others := m.others()
+	if len(others) == 0 {
+		return nil
+	}
+	d := xxhash.NewWithSeed(uint64(m.inquiries))
+	_, _ = d.WriteString(string(m.self.ID))
+	first := int(d.Sum64() % uint64(len(others)))
+	var effects []Effect
+	for i := range min(inquired, len(others)) {
+		effects = append(effects, m.ask(others[(first+i)%len(others)]))
+	}
+	return effects
+}
+
 // count ends a poll. The lead is claimed unless most of the VMs that answered are in touch with the leader.
 func (m *Member) count(now time.Time) []Effect {
 	if m.InTouch(now) {
@@ -110,6 +137,7 @@
 		return nil
 	}
 	if err != nil {
+		m.confirmed = false
 		m.step = delaying
 		m.at = now.Add(readRetry + time.Duration(m.rank())*laterStep)
 		return nil
@@ -130,6 +158,13 @@
 		m.at = now.Add(readRetry)
 		return nil
 	}
+	if m.resigned && !m.confirmed && m.rank() >= candidates {
+		m.confirmed = true
+		m.step = delaying
+		m.at = now.Add(confirmTime)
+		return nil
+	}
+	m.confirmed = false
 	term := max(r.Term, m.term) + 1
 	m.claims[term] = true
 	return []Effect{Claim{At: next, Record: azuretiller.LeaderRecord{Term: term, VM: m.self.ID, Address: m.self.Peer}}}
@@ -161,13 +196,8 @@
 	m.leading = true
 	m.heard = now
 	effects := []Effect{Lead{Term: term}}
-	for _, other := range m.view.Members {
-		if other.Peer != m.self.Peer {
-			effects = append(effects, m.hello(0, other.Peer, true))
-		}
-	}
-	for _, seed := range m.seeds {
-		effects = append(effects, m.hello(0, seed, true))
+	for _, peer := range m.others() {
+		effects = append(effects, m.hello(0, peer, true))
 	}
 	for from, at := range m.asking {
 		if now.Sub(at) < helloTime {
--- a/pkg/member/fleet_test.go
+++ b/pkg/member/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -26,6 +27,12 @@
 	store    store
 	// cut tells whether a datagram from one VM to another is lost.
 	cut func(from, to int) bool
+	// lose tells whether datagrams with a body are lost.
+	lose func(body any) bool
+	// power is the processor time of each VM, in hundredths of a core, or nil.
+	power []int
+	// noticeTime is what a leader needs to notice that the store is back.
+	noticeTime time.Duration
 	// leaders has the VM that led each term.
 	leaders map[azuretiller.Term]string
 }
@@ -42,6 +49,8 @@
 	refused, silent bool
 	// lostStore is when the VM lost the store, zero while it answers.
 	lostStore time.Time
+	// backAt is since when the store has answered it again.
+	backAt time.Time
 }
 
 // store is the leader record with the offset of the next one.
@@ -63,13 +72,15 @@
 
 var errAway = errors.New("the store is away")
 
-func newFleet(t *testing.T, size int, seed uint64) *fleet {
+func newFleet(t *testing.T, size int, seed uint64, power ...int) *fleet {
 	f := &fleet{
 		t:        t,
 		random:   rand.New(rand.NewPCG(seed, 11)),
 		schedule: virtualtime.New(time.Unix(1_000_000, 0)),
 		store:    store{next: 1},
 		cut:      func(int, int) bool { return false },
+		lose:     func(any) bool { return false },
+		power:    power,
 		leaders:  map[azuretiller.Term]string{},
 	}
 	for i := range size {
@@ -86,7 +97,12 @@
 	v.born++
 	v.leader = nil
 	seeds := []string{f.vms[0].address}
+	power := 0
+	if v.index < len(f.power) {
+		power = f.power[v.index]
+	}
 	v.member = New(f.schedule.Now(), azuretiller.VM{
+		Power:       power,
 		ID:          v.id,
 		Incarnation: azuretiller.Incarnation(v.born),
 		Zone:        azuretiller.Zone(fmt.Sprint(v.index % 4)),
@@ -105,9 +121,16 @@
 		}
 		switch {
 		case !f.store.down && !v.refused && !v.silent:
-			v.lostStore = time.Time{}
+			if v.backAt.IsZero() {
+				v.backAt = now
+			}
+			if now.Sub(v.backAt) >= f.noticeTime {
+				v.lostStore = time.Time{}
+			}
 		case v.lostStore.IsZero():
-			v.lostStore = now
+			v.lostStore, v.backAt = now, time.Time{}
+		default:
+			v.backAt = time.Time{}
 		}
 		f.carryOut(v, v.member.Tick(now))
 		if v.leader != nil {
@@ -198,7 +221,7 @@
 
 func (f *fleet) send(from *vm, to string, m message.Envelope) {
 	for _, v := range f.vms {
-		if v.address != to || f.cut(from.index, v.index) {
+		if v.address != to || f.cut(from.index, v.index) || f.lose(m.Body) {
 			continue
 		}
 		f.schedule.After(oneWay, func() {
@@ -374,3 +397,50 @@
 		}
 	}
 }
+
+// TestLeaderLostWhileItsViewIsSmall replays the loss of a leader whose newer views were lost, so that VMs know only the few that
+// had joined it at first: its successor must be found by all soon.
+func TestLeaderLostWhileItsViewIsSmall(t *testing.T) {
+	f := newFleet(t, 120, 6)
+	f.schedule.Run(2 * time.Second)
+	f.kill(f.leading()[0])
+	for len(f.leading()) == 0 {
+		f.schedule.Run(50 * time.Millisecond)
+	}
+	second := f.leading()[0]
+	f.cut = func(from, to int) bool { return from == second.index && to >= 30 }
+	f.schedule.Run(400 * time.Millisecond)
+	f.cut = func(int, int) bool { return false }
+	f.lose = func(body any) bool {
+		_, isView := body.(message.View)
+		return isView
+	}
+	f.schedule.Run(time.Second)
+	f.settled("with the second leader")
+	require.Less(t, len(second.member.View().Members), 60)
+	f.kill(second)
+	f.lose = func(any) bool { return false }
+	f.schedule.Run(1800 * time.Millisecond)
+	f.settled("after the loss of the second leader")
+}
+
+// TestLeaderStaysAfterAnOutageOfTheStore replays outages of the store during which the leader asks for a successor: when the store is
+// back, none of the many weak VMs may take the lead before the leader has noticed it or a strong one has tried.
+func TestLeaderStaysAfterAnOutageOfTheStore(t *testing.T) {
+	power := slices.Concat(slices.Repeat([]int{80}, 6), slices.Repeat([]int{16}, 114))
+	for i := range 12 {
+		f := newFleet(t, len(power), 7, power...)
+		f.noticeTime = 250 * time.Millisecond
+		f.schedule.Run(2 * time.Second)
+		f.store.down = true
+		f.schedule.Run(2*time.Second + time.Duration(i)*170*time.Millisecond)
+		f.store.down = false
+		for range 40 {
+			f.schedule.Run(50 * time.Millisecond)
+			for _, v := range f.leading() {
+				require.Less(t, v.index, 6, "a weak VM leads after outage %d", i)
+			}
+		}
+		f.settled("after the outage")
+	}
+}
--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -29,6 +29,9 @@
 	expected time.Time
 	beatAt   time.Time
 	view     message.View
+	// peers maps the host:port of each VM that a view named to the time at which the newest such view came, since the first views
+	// of a term name few VMs.
+	peers map[string]time.Time
 	// parts are those of a newer view that is not whole yet.
 	parts        map[int]message.View
 	partsTerm    azuretiller.Term
@@ -36,13 +39,19 @@
 
 	step step
 	// at is when the next step is due.
-	at     time.Time
+	at time.Time
+	// inquireAt is when a VM that waits for its turn next asks some others who leads, and inquiries counts these questions.
+	inquireAt time.Time
+	inquiries int
+
 	votes  map[string]bool
 	claims map[azuretiller.Term]bool
 	// known means that the leader knows what does not change about this VM.
 	known bool
 	// asking has the VMs that take this one for the leader, although it does not lead, with the time of their last heartbeat.
 	asking map[string]time.Time
+	// confirmed means that the store answered a read and this VM waited for those that come before it.
+	confirmed bool
 	// resigned means that the leader asked for a successor.
 	resigned bool
 }
@@ -63,7 +72,7 @@
 
 // New returns a member that knows no leader.
 func New(now time.Time, self azuretiller.VM, seeds []string) *Member {
-	m := &Member{self: self, seeds: seeds, started: now, claims: map[azuretiller.Term]bool{}, asking: map[string]time.Time{}}
+	m := &Member{self: self, seeds: seeds, started: now, peers: map[string]time.Time{}, claims: map[azuretiller.Term]bool{}, asking: map[string]time.Time{}}
 	m.step = delaying
 	m.at = now.Add(bootDelay(self))
 	return m
@@ -111,6 +120,7 @@
 	var effects []Effect
 	if now.Sub(m.beatAt) >= beatGap {
 		effects = m.beat(now)
+		m.forgetPeers(now)
 	}
 	switch m.step {
 	case following:
@@ -123,6 +133,8 @@
 			m.step = following
 		} else if !now.Before(m.at) {
 			effects = append(effects, m.poll(now)...)
+		} else if !now.Before(m.inquireAt) {
+			effects = append(effects, m.inquire(now)...)
 		}
 	case polling:
 		if !now.Before(m.at) {
--- a/pkg/member/receive.go
+++ b/pkg/member/receive.go
@@ -22,7 +22,7 @@
 	case message.Vote:
 		return m.vote(now, from, b)
 	case message.View:
-		return m.newView(b)
+		return m.newView(now, b)
 	}
 	return nil
 }
@@ -83,10 +83,11 @@
 	if m.step != reading && !b.Resigned {
 		m.step = following
 	}
-	if b.Resigned && !m.resigned && !m.leading {
+	asked := b.Resigned && !m.resigned && !m.leading
+	m.resigned = b.Resigned
+	if asked {
 		m.delay(now)
 	}
-	m.resigned = b.Resigned
 	return effects
 }
 
--- a/pkg/member/view.go
+++ b/pkg/member/view.go
@@ -1,6 +1,10 @@
 package member
 
 import (
+	"maps"
+	"slices"
+	"time"
+
 	"github.com/azuretiller/azuretiller/pkg/message"
 )
 
@@ -11,17 +15,30 @@
 	return m.view.Version
 }
 
-// Peers returns the host:port of the VMs in the newest view.
-func (m *Member) Peers() []string {
-	var peers []string
+// Peers returns the host:port of the VMs that views named within peerMemory, in order.
+func (m *Member) Peers() []string { return slices.Sorted(maps.Keys(m.peers)) }
+
+// others returns Peers and the seeds without this VM.
+func (m *Member) others() []string {
+	others := slices.Concat(m.Peers(), m.seeds)
+	slices.Sort(others)
+	return slices.DeleteFunc(slices.Compact(others), func(peer string) bool { return peer == m.self.Peer })
+}
+
+func (m *Member) notePeers(now time.Time) {
 	for _, other := range m.view.Members {
-		peers = append(peers, other.Peer)
+		m.peers[other.Peer] = now
 	}
-	return peers
+}
+
+// forgetPeers drops the VMs that are in no view any more.
+func (m *Member) forgetPeers(now time.Time) {
+	m.notePeers(now)
+	maps.DeleteFunc(m.peers, func(_ string, named time.Time) bool { return now.Sub(named) > peerMemory })
 }
 
 // newView takes a newer view and passes it on if it should.
-func (m *Member) newView(v message.View) []Effect {
+func (m *Member) newView(now time.Time, v message.View) []Effect {
 	if v.Term < m.view.Term || v.Term == m.view.Term && v.Version <= m.view.Version {
 		return nil
 	}
@@ -44,6 +61,7 @@
 	case whole.Term == m.view.Term && whole.Base == m.view.Version:
 		m.view = m.view.Apply(whole)
 	}
+	m.notePeers(now)
 	return effects
 }
 
