Join a new leader at once

VMs now answer the greeting with a heartbeat. TestVMsJoinANewLeaderAtOnce failed first (1 of 35 VMs).

--- a/pkg/member/fleet_test.go
+++ b/pkg/member/fleet_test.go
@@ -405,10 +405,12 @@
 	f.schedule.Run(2 * time.Second)
 	f.kill(f.leading()[0])
 	for len(f.leading()) == 0 {
-		f.schedule.Run(50 * time.Millisecond)
+		f.schedule.Run(time.Millisecond)
 	}
 	second := f.leading()[0]
-	f.cut = func(from, to int) bool { return from == second.index && to >= 30 }
+	f.cut = func(from, to int) bool {
+		return from != to && (from == second.index && to >= 30 || from >= 30 && to == second.index)
+	}
 	f.schedule.Run(400 * time.Millisecond)
 	f.cut = func(int, int) bool { return false }
 	f.lose = func(body any) bool {
@@ -444,3 +446,15 @@
 		f.settled("after the outage")
 	}
 }
+
+// TestVMsJoinANewLeaderAtOnce: a leader tells only the VMs that have joined it of the configuration and of each other.
+func TestVMsJoinANewLeaderAtOnce(t *testing.T) {
+	f := newFleet(t, 36, 8)
+	f.schedule.Run(2 * time.Second)
+	f.kill(f.leading()[0])
+	for len(f.leading()) == 0 {
+		f.schedule.Run(10 * time.Millisecond)
+	}
+	f.schedule.Run(20 * time.Millisecond)
+	assert.Equal(t, 35, f.leading()[0].leader.Members())
+}
--- a/pkg/member/receive.go
+++ b/pkg/member/receive.go
@@ -62,8 +62,9 @@
 		}
 		m.follow(now, b.Term, b.Leader, b.Address)
 		effects = note(effects, "following", log.Fields{"leader": b.Leader, "term": b.Term})
+		effects = append(effects, m.beat(now)...)
 		if !b.Leads {
-			return append(effects, m.beat(now)...)
+			return effects
 		}
 	}
 	if b.Term < m.term && b.Leads {
