Tell servers that turn work away from gray ones

Each refusal counted as a failure, so all servers looked gray; and as none of those in use had not failed for 4 s, only the idle ones, which were left out because they are gray, counted as sound, and the rule that keeps sound servers in use sent work to them. Each server now has a belief of its own about what it turns away; a refusal says nothing of failures. A chance is used for 20 ms instead of 5, as there are two now.

--- a/pkg/belief/model.go
+++ b/pkg/belief/model.go
@@ -11,7 +11,7 @@
 	// forgetting is the weight that old results keep with each new one, so that the model follows changes over some hundred results.
 	forgetting = 0.997
 	// successAge is how long a chance is used again: what is known fades over seconds.
-	successAge = 5 * time.Millisecond
+	successAge = 20 * time.Millisecond
 	// rates is the number of guesses at how fast states are forgotten.
 	rates = 4
 	// leastWeight keeps each hypothesis within reach of new evidence.
--- a/pkg/desk/choose.go
+++ b/pkg/desk/choose.go
@@ -21,7 +21,7 @@
 		}
 		if s.room(now) <= 0 {
 			if !s.Closed && !s.moved {
-				busiest = max(busiest, s.belief.Success(now))
+				busiest = max(busiest, s.success(now))
 			}
 			continue
 		}
@@ -32,18 +32,22 @@
 	if best == nil {
 		return nil
 	}
-	if !w.Idempotent && !spread && d.waiting() < mostMisses && now.Before(w.better) && best.belief.Success(now) < busiest-betterBy {
+	if !w.Idempotent && !spread && d.waiting() < mostMisses && now.Before(w.better) && best.success(now) < busiest-betterBy {
 		return nil
 	}
 	return best
 }
 
 func (d *Desk) score(now time.Time, s *server, w *waiter, spread bool) float64 {
-	success := s.belief.Success(now)
-	failure := 1 - success
-	if w.Idempotent && !w.Repeat && d.retries.Saved() > leastBudget {
-		failure *= secondChance
+	failure, shed := 1-s.belief.Success(now), 1-s.shedding.Success(now)
+	if !w.Repeat && d.retries.Saved() > leastBudget {
+		// What was turned away may always be sent to another server.
+		shed *= secondChance
+		if w.Idempotent {
+			failure *= secondChance
+		}
 	}
+	failure = 1 - (1-failure)*(1-shed)
 	score := -failure - crowding*float64(s.busy)*failure
 	score -= loadPenalty * float64(s.busy) / float64(max(s.Slots, 1))
 	if s.Zone != w.Zone {
@@ -55,7 +59,7 @@
 	if s.lastStart.IsZero() {
 		score += newcomerBonus
 	}
-	if spread && now.Sub(s.lastStart) > coverageWindow && now.Sub(s.lastFailure) >= recoveredAfter {
+	if spread && now.Sub(s.lastStart) > coverageWindow && s.sound(now, recoveredAfter) {
 		score += spreadBonus
 	}
 	return score
@@ -86,9 +90,10 @@
 			continue
 		}
 		used := now.Sub(s.lastStart) <= coverageWindow
-		if since := now.Sub(s.lastFailure); since >= soundAfter {
+		switch {
+		case s.sound(now, soundAfter):
 			sound.add(used)
-		} else if since >= recoveredAfter {
+		case s.sound(now, recoveredAfter):
 			recovered.add(used)
 		}
 	}
--- a/pkg/desk/desk.go
+++ b/pkg/desk/desk.go
@@ -19,6 +19,7 @@
 	check   *invariant.Checker
 	tickets *Tickets
 	model   *belief.Model
+	sheds   *belief.Model
 	servers []*server
 	// queues has the waiting requests by priority, the most urgent first.
 	queues  []*queue
@@ -70,6 +71,7 @@
 		check:   check,
 		tickets: tickets,
 		model:   belief.NewModel(),
+		sheds:   belief.NewModel(),
 		running: map[message.TicketID]*attempt{},
 		typical: map[azuretiller.RouteID]time.Duration{},
 		size:    map[azuretiller.RouteID]float64{},
@@ -89,7 +91,7 @@
 	for _, c := range servers {
 		s := d.find(c.ID)
 		if s == nil || s.Born != c.Born || s.Address != c.Address {
-			s = &server{belief: d.model.New(now), blocked: map[string]time.Time{}}
+			s = &server{belief: d.model.New(now), shedding: d.sheds.New(now), blocked: map[string]time.Time{}}
 		}
 		s.Server = c
 		next = append(next, s)
@@ -237,7 +239,7 @@
 		Ticket:  d.tickets.next(),
 		Server:  s.Server,
 		Code:    azuretiller.CodeOK,
-		Success: s.belief.Success(now),
+		Success: s.success(now),
 		Busy:    s.busy,
 		Queued:  now.Sub(w.since),
 		Crossed: s.Zone != w.Zone,
@@ -281,9 +283,12 @@
 // learn draws conclusions about the server and the usual service time.
 func (d *Desk) learn(now time.Time, a *attempt, result message.Result, took time.Duration) {
 	s := a.server
-	if result != message.Succeeded && result != message.Cancelled {
+	if result != message.Succeeded && result != message.Shed && result != message.Cancelled {
 		s.lastFailure = now
 	}
+	if result.Reached() {
+		s.shedding.Observe(now, result == message.Shed, 1)
+	}
 	switch result {
 	case message.Succeeded:
 		if !a.overdue {
@@ -291,7 +296,7 @@
 		}
 		old := d.usual(a.Route)
 		d.typical[a.Route] = time.Duration((1-typicalWeight)*float64(old) + typicalWeight*float64(took))
-	case message.Failed, message.Reset, message.Shed:
+	case message.Failed, message.Reset:
 		s.belief.Observe(now, true, 1)
 	case message.TimedOut:
 		s.belief.Observe(now, true, 1)
@@ -300,7 +305,7 @@
 		s.blocked[a.Key.From] = now.Add(pathBlock)
 	case message.Misdirected:
 		s.moved = true
-	case message.Cancelled:
+	case message.Shed, message.Cancelled:
 	}
 	if result != message.Cancelled {
 		d.recent.add(now, result == message.Succeeded)
@@ -352,7 +357,7 @@
 	if s == nil {
 		return 0, false
 	}
-	return s.belief.Success(now), true
+	return s.success(now), true
 }
 
 // Observe takes the result of an attempt that a VM made on its own.
--- a/pkg/desk/load_test.go
+++ b/pkg/desk/load_test.go
@@ -74,3 +74,20 @@
 	// Of the work itself 2 in 100 take longer than the objective.
 	assert.Greater(t, float64(f.inTime), 0.9*float64(f.served))
 }
+
+// TestSheddingDoesNotHideGrayServers replays a service all of whose servers turn away half of their work while some are gray. A server
+// that turns work away says so, and the request may go to another; one that is gray loses it.
+func TestSheddingDoesNotHideGrayServers(t *testing.T) {
+	l := load{servers: 16, rate: 60, work: 200 * time.Millisecond, turn: 0.04, heal: 0.1, fails: 0.75, deadline: 2 * time.Second, span: 60 * time.Second}
+	calm, shedding := 0, 0
+	for seed := range uint64(5) {
+		l.sheds = 0
+		calm += run(l, seed, newByDesk).failed
+		l.sheds = 0.55
+		f := run(l, seed, newByDesk)
+		t.Logf("%+v", f)
+		shedding += f.failed
+	}
+	t.Logf("failed: %d while no server sheds, %d while all do", calm, shedding)
+	assert.LessOrEqual(t, shedding, calm)
+}
--- a/pkg/desk/params.go
+++ b/pkg/desk/params.go
@@ -77,6 +77,8 @@
 	// soundAfter is how long after a failure a server counts as sound for the whole of a window, and recoveredAfter for a moment.
 	soundAfter     = 4 * time.Second
 	recoveredAfter = 2 * time.Second
+	// leastTaken is the chance that a server takes a request below which it does not count as sound.
+	leastTaken = 0.6
 	// lostShare is the share of requests that are not served from which work is spread over most servers.
 	lostShare = 0.06
 	// leastLost is the number of lost requests from which their share says anything.
--- a/pkg/desk/server.go
+++ b/pkg/desk/server.go
@@ -24,8 +24,10 @@
 
 type server struct {
 	Server
-	belief *belief.Belief
-	busy   int
+	// belief is what is known of the server's failures, and shedding of the work that it turns away.
+	belief   *belief.Belief
+	shedding *belief.Belief
+	busy     int
 	// lastStart is the time of the newest start, zero before the first one.
 	lastStart time.Time
 	// lastFailure is the time of the newest failure, zero before the first one.
@@ -38,6 +40,16 @@
 	moved bool
 }
 
+// success returns the probability that a request sent now is answered well.
+func (s *server) success(now time.Time) float64 {
+	return s.belief.Success(now) * s.shedding.Success(now)
+}
+
+// sound reports whether the server has not failed for a while and takes the work that it is sent.
+func (s *server) sound(now time.Time, since time.Duration) bool {
+	return now.Sub(s.lastFailure) >= since && s.shedding.Success(now) >= leastTaken
+}
+
 // room returns how many more requests the server may be sent now.
 func (s *server) room(now time.Time) int {
 	if s.Closed || s.moved {
--- a/pkg/desk/sim_test.go
+++ b/pkg/desk/sim_test.go
@@ -20,9 +20,11 @@
 	work time.Duration
 	// turn and heal are the rates of turning gray and of recovering, in 1/s; fails is the share that fails on a gray server.
 	turn, heal, fails float64
-	idempotent        bool
-	deadline          time.Duration
-	span              time.Duration
+	// sheds is the share of requests that each server turns away.
+	sheds      float64
+	idempotent bool
+	deadline   time.Duration
+	span       time.Duration
 	// prefix makes requests beyond the rate in a part of the span.
 	burst func(at time.Duration) float64
 }
@@ -32,12 +34,12 @@
 
 // figures are what became of the requests of a load.
 type figures struct {
-	asked, served, failed, refused int
+	asked, served, failed, refused, shed int
 	// inTime counts the answers within the objective.
 	inTime int
 }
 
-func (f figures) lost() float64 { return float64(f.failed+f.refused) / float64(f.asked) }
+func (f figures) lost() float64 { return float64(f.failed+f.refused+f.shed) / float64(f.asked) }
 
 // chooser places requests in a replay; the desk and the simpler ways that it is compared with implement it.
 type chooser interface {
@@ -151,14 +153,20 @@
 	r.tried[p.id] = append(r.tried[p.id], instance(p.server))
 	s.busy++
 	took := exponential(r.random, 1/r.load.work.Seconds())
-	failed := s.gray && r.random.Float64() < r.load.fails || r.random.Float64() < 0.012
-	if failed {
+	result := message.Succeeded
+	switch {
+	case r.load.sheds > 0 && r.random.Float64() < r.load.sheds:
+		result = message.Shed
+	case s.gray && r.random.Float64() < r.load.fails || r.random.Float64() < 0.012:
+		result = message.Failed
+	}
+	if result != message.Succeeded {
 		took = 2 * time.Millisecond
 	}
 	r.schedule.After(took, func() {
 		s.busy--
 		now := r.schedule.Now()
-		if !failed {
+		if result == message.Succeeded {
 			r.figures.served++
 			if now.Sub(r.begun[p.id]) <= objective {
 				r.figures.inTime++
@@ -166,9 +174,13 @@
 			r.carryOut(r.chooser.finish(now, p, message.Succeeded, took))
 			return
 		}
-		r.carryOut(r.chooser.finish(now, p, message.Failed, took))
-		if r.load.idempotent && len(r.tried[p.id]) < 2 {
-			r.carryOut(r.chooser.offer(now, p.id, true, r.tried[p.id], r.begun[p.id].Add(r.load.deadline)))
+		r.carryOut(r.chooser.finish(now, p, result, took))
+		if (r.load.idempotent || result == message.Shed) && len(r.tried[p.id]) < 2 {
+			r.carryOut(r.chooser.offer(now, p.id, r.load.idempotent, r.tried[p.id], r.begun[p.id].Add(r.load.deadline)))
+			return
+		}
+		if result == message.Shed {
+			r.figures.shed++
 			return
 		}
 		r.figures.failed++
--- a/pkg/message/result.go
+++ b/pkg/message/result.go
@@ -34,3 +34,6 @@
 	}
 	return names[r]
 }
+
+// Reached reports whether the server decided about the request: it ran it, or turned it away.
+func (r Result) Reached() bool { return r != Unreachable && r != Misdirected && r != Cancelled }
