Do not count connections that could not be made as attempts

A refused connection now speaks against the server with full weight and keeps it out for all VMs for 1 s; attempts that were not sent do not count towards those of the route, up to three. TestServersThatCannotBeReachedAreNoAttempts and TestServerThatIsDownIsLeftOut failed first (no such result before).

--- a/pkg/desk/choose.go
+++ b/pkg/desk/choose.go
@@ -20,7 +20,7 @@
 			continue
 		}
 		if s.room(now) <= 0 {
-			if !s.Closed && !s.moved {
+			if s.takesWork(now) {
 				busiest = max(busiest, s.success(now))
 			}
 			continue
@@ -86,7 +86,7 @@
 	}
 	var sound, recovered coverage
 	for _, s := range d.servers {
-		if s.Closed || s.moved {
+		if !s.takesWork(now) {
 			continue
 		}
 		used := now.Sub(s.lastStart) <= coverageWindow
--- a/pkg/desk/desk.go
+++ b/pkg/desk/desk.go
@@ -303,6 +303,9 @@
 	case message.Unreachable:
 		s.belief.Observe(now, true, pathEvidence)
 		s.blocked[a.Key.From] = now.Add(pathBlock)
+	case message.Down:
+		s.belief.Observe(now, true, 1)
+		s.downUntil = now.Add(downTime)
 	case message.Misdirected:
 		s.moved = true
 	case message.Shed, message.Cancelled:
--- a/pkg/desk/desk_test.go
+++ b/pkg/desk/desk_test.go
@@ -87,6 +87,26 @@
 	assert.True(t, d.find(c.Server.ID).room(now) > 0, "a new start of the server counts as another one")
 }
 
+// TestServerThatIsDownIsLeftOut: a connection that is refused says that the server is down, whichever VM tried.
+func TestServerThatIsDownIsLeftOut(t *testing.T) {
+	now := start()
+	d := newDesk(now, plain(2)...)
+	c, ok := granted(d.Offer(now, ask(now, 1)))
+	require.True(t, ok)
+	d.Finish(now, c.Ticket, message.Down, time.Millisecond, 0)
+	for i := range 9 {
+		now = now.Add(100 * time.Millisecond)
+		r := ask(now, 10+i)
+		r.Key.From = "other"
+		next, ok := granted(d.Offer(now, r))
+		require.True(t, ok)
+		assert.NotEqual(t, c.Server.ID, next.Server.ID)
+		d.Finish(now, next.Ticket, message.Succeeded, time.Millisecond, 0)
+	}
+	assert.Zero(t, d.find(c.Server.ID).room(now))
+	assert.Positive(t, d.find(c.Server.ID).room(now.Add(downTime)))
+}
+
 func TestUnreachableServerIsLeftOutForThatVM(t *testing.T) {
 	now := start()
 	d := newDesk(now, plain(2)...)
@@ -216,7 +236,7 @@
 			case 3, 4:
 				for ticket := range running {
 					delete(running, ticket)
-					decisions, _ := d.Finish(now, ticket, message.Result(1+random.IntN(8)), time.Duration(random.IntN(500))*time.Millisecond, 100)
+					decisions, _ := d.Finish(now, ticket, message.Result(1+random.IntN(9)), time.Duration(random.IntN(500))*time.Millisecond, 100)
 					take(decisions)
 					break
 				}
--- a/pkg/desk/params.go
+++ b/pkg/desk/params.go
@@ -53,6 +53,8 @@
 	pathEvidence = 0.35
 	// pathBlock is how long a VM is not sent to a server that it could not reach.
 	pathBlock = 3 * time.Second
+	// downTime is how long no VM is sent to a server on whose address nothing listens; one that restarts takes some seconds.
+	downTime = time.Second
 	// ticketSlack is the time beyond its deadline after which a ticket without a report counts as lost.
 	ticketSlack = 500 * time.Millisecond
 
--- a/pkg/desk/server.go
+++ b/pkg/desk/server.go
@@ -36,6 +36,8 @@
 	coldStarts []time.Time
 	// blocked maps the VMs that could not connect to the time until which they are not sent here.
 	blocked map[string]time.Time
+	// downUntil is until when the server is taken for down, since nothing listened on its address.
+	downUntil time.Time
 	// moved means that another server was found at the address.
 	moved bool
 }
@@ -50,9 +52,14 @@
 	return now.Sub(s.lastFailure) >= since && s.shedding.Success(now) >= leastTaken
 }
 
+// takesWork reports whether the server is there and may be sent new work.
+func (s *server) takesWork(now time.Time) bool {
+	return !s.Closed && !s.moved && !now.Before(s.downUntil)
+}
+
 // room returns how many more requests the server may be sent now.
 func (s *server) room(now time.Time) int {
-	if s.Closed || s.moved {
+	if !s.takesWork(now) {
 		return 0
 	}
 	room := s.Slots - s.busy
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -38,8 +38,10 @@
 	server   azuretiller.InstanceID
 	service  azuretiller.ServiceID
 	attempts int
-	alone    bool
-	reason   string
+	// sent counts the attempts that may have reached a server; the route bounds these.
+	sent   int
+	alone  bool
+	reason string
 }
 
 func newCall(g *Gateway, w http.ResponseWriter, r *http.Request) *call {
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -209,3 +209,17 @@
 	assert.Len(t, b.sender.sent, 2)
 	assert.True(t, b.link.asked[1].Hedge)
 }
+
+// TestServersThatCannotBeReachedAreNoAttempts replays servers that are down together: what was not sent does not count towards the
+// attempts of the route, up to a bound.
+func TestServersThatCannotBeReachedAreNoAttempts(t *testing.T) {
+	unreachable, down := upstream.Answer{Result: message.Unreachable}, upstream.Answer{Result: message.Down}
+	b := newBench([]message.Grant{grant(1), grant(2), grant(3)}, unreachable, down, answered(message.Succeeded, 200))
+	assert.Equal(t, 200, b.serve("POST", "/orders/1").Code)
+	b = newBench(
+		[]message.Grant{grant(1), grant(2), grant(3), grant(4), grant(5), grant(6)},
+		down, down, down, down, down, answered(message.Succeeded, 200),
+	)
+	assert.Equal(t, 503, b.serve("POST", "/orders/1").Code)
+	assert.Len(t, b.sender.sent, 2+mostUnsent)
+}
--- a/pkg/gateway/params.go
+++ b/pkg/gateway/params.go
@@ -16,6 +16,8 @@
 	// between two looks.
 	leaderWait = 300 * time.Millisecond
 	leaderPoll = 10 * time.Millisecond
+	// mostUnsent bounds the attempts beyond those of the route for which no connection could be made.
+	mostUnsent = 3
 	// leastLeft is the time that must be left for one more attempt.
 	leastLeft = 60 * time.Millisecond
 	// hedgeShare is the share of the objective after which a request that may run twice is sent to a second server.
--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -33,11 +33,12 @@
 func (c *call) run(ctx context.Context) {
 	attempts, stop := context.WithCancel(ctx)
 	defer stop()
-	results := make(chan attempt, c.route.Attempts)
+	results := make(chan attempt, c.route.Attempts+mostUnsent)
 	var tried []azuretiller.InstanceID
 	backends := c.route.Backends
 	launch := func(last *message.Report, hedge bool) {
 		c.attempts++
+		c.sent++
 		q := question{
 			number:   c.attempts,
 			backends: backends,
@@ -57,6 +58,9 @@
 		select {
 		case a := <-results:
 			pending--
+			if !a.answer.Result.Sent() {
+				c.sent--
+			}
 			c.alone = c.alone || a.alone
 			if a.answer.Result == message.Succeeded {
 				c.deliver(a)
@@ -79,7 +83,7 @@
 				return
 			}
 		case <-hedge.C:
-			if c.route.IsIdempotent("") && c.attempts < c.route.Attempts && pending == 1 && len(backends) == 1 && !c.alone {
+			if c.route.IsIdempotent("") && c.sent < c.route.Attempts && pending == 1 && len(backends) == 1 && !c.alone {
 				pending++
 				launch(nil, true)
 			}
@@ -104,7 +108,7 @@
 
 // mayRetry reports whether a failed attempt may be followed by another one.
 func (c *call) mayRetry(ctx context.Context, a attempt, pending int) bool {
-	if a.grant.Server == "" || c.attempts >= c.route.Attempts || pending > 0 || c.alone && !a.answer.Result.NotRun() {
+	if a.grant.Server == "" || c.sent >= c.route.Attempts || c.attempts >= c.route.Attempts+mostUnsent || pending > 0 || c.alone && !a.answer.Result.NotRun() {
 		return false
 	}
 	if !a.answer.Result.NotRun() && !c.route.IsIdempotent("") {
--- a/pkg/leader/requests.go
+++ b/pkg/leader/requests.go
@@ -62,7 +62,7 @@
 		Route:       a.Route,
 		Priority:    a.Priority,
 		Idempotent:  a.Idempotent,
-		Repeat:      a.Attempt > 1 && (a.Hedge || a.Last == nil || a.Last.Result != message.Unreachable),
+		Repeat:      a.Attempt > 1 && (a.Hedge || a.Last == nil || a.Last.Result.Sent()),
 		Tried:       a.Tried,
 		Deadline:    now.Add(a.Deadline),
 		Objective:   now.Add(a.Objective),
--- a/pkg/message/result.go
+++ b/pkg/message/result.go
@@ -21,14 +21,19 @@
 	TimedOut
 	// Cancelled means that the caller left.
 	Cancelled
+	// Down means that no server listens on the address, so that nothing was sent.
+	Down
 )
 
 // NotRun reports whether the result proves that the request did not run.
-func (r Result) NotRun() bool { return r == Shed || r == Unreachable || r == Misdirected }
+func (r Result) NotRun() bool { return r == Shed || r == Misdirected || !r.Sent() }
+
+// Sent reports whether the request may have reached a server.
+func (r Result) Sent() bool { return r != Unreachable && r != Down }
 
 // String returns the result as logs show it.
 func (r Result) String() string {
-	names := [...]string{"none", "succeeded", "failed", "reset", "shed", "unreachable", "misdirected", "timed-out", "cancelled"}
+	names := [...]string{"none", "succeeded", "failed", "reset", "shed", "unreachable", "misdirected", "timed-out", "cancelled", "down"}
 	if r < 0 || int(r) >= len(names) {
 		return "unknown"
 	}
@@ -36,4 +41,4 @@
 }
 
 // Reached reports whether the server decided about the request: it ran it, or turned it away.
-func (r Result) Reached() bool { return r != Unreachable && r != Misdirected && r != Cancelled }
+func (r Result) Reached() bool { return r.Sent() && r != Misdirected && r != Cancelled }
--- a/pkg/upstream/sender.go
+++ b/pkg/upstream/sender.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -74,7 +75,11 @@
 		if ctx.Err() != nil {
 			return Answer{Result: ended(ctx), Err: ctx.Err()}
 		}
-		return Answer{Result: message.Unreachable, Err: errors.Wrap(err, "connect")}
+		result := message.Unreachable
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			result = message.Down
+		}
+		return Answer{Result: result, Err: errors.Wrap(err, "connect")}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	answer := s.exchange(ctx, conn, a)
