Let requests beyond a VM's part of the rate wait for a leader that is expected soon

Weighed and left: larger parts for VMs alone, since a team that turns hot just then would exceed its rate. A request whose VM may not grant it now waits for the leader until 0.6 of the time to its objective, while one is expected.

--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -60,15 +60,20 @@
 // The load it answers: all VMs are killed and come back together, or the leader is lost. Either is over within tenths of a
 // second, while a refusal would cost the caller the whole request.
 func (c *call) settleIn(ctx context.Context) {
-	until := c.started.Add(leaderWait)
+	c.awaitLeader(ctx, c.started.Add(leaderWait))
+}
+
+// awaitLeader waits while a configuration and a leader are expected soon, and reports whether they are there.
+func (c *call) awaitLeader(ctx context.Context, until time.Time) bool {
 	for !c.settled() && c.state.Unsettled && c.gateway.common.Clock.Now().Before(until) {
 		select {
 		case <-ctx.Done():
-			return
+			return false
 		case <-time.After(leaderPoll):
 		}
 		c.state = c.gateway.current()
 	}
+	return c.settled()
 }
 
 func (c *call) settled() bool { return c.state.Config != nil && c.state.InTouch }
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -99,12 +100,12 @@
 func readyWithin(objective time.Duration) *State {
 	route := func(id, prefix, idempotent string) config.Route {
 		return config.Route{
-			ID: azuretiller.RouteID(id), Host: "h", Prefix: prefix, Open: true, Idempotent: idempotent, Timeout: 5 * time.Second, Attempts: 2,
+			ID: azuretiller.RouteID(id), Host: "h", Prefix: prefix, Open: id != "keyed", Idempotent: idempotent, Timeout: 5 * time.Second, Attempts: 2,
 			Objective: objective, Backends: []config.Backend{{Service: "s", Weight: 1}},
 		}
 	}
 	return &State{InTouch: true, Leader: "10.0.0.1:1", Config: config.Assemble(config.Parts{
-		Routes: []config.Route{route("reads", "/reads/", "yes"), route("orders", "/orders/", "no")},
+		Routes: []config.Route{route("reads", "/reads/", "yes"), route("orders", "/orders/", "no"), route("keyed", "/keyed/", "no")},
 	})}
 }
 
@@ -223,3 +224,40 @@
 	assert.Equal(t, 503, b.serve("POST", "/orders/1").Code)
 	assert.Len(t, b.sender.sent, 2+mostUnsent)
 }
+
+// steppingClock moves on with each look at it.
+type steppingClock struct{ now time.Time }
+
+// Now returns the time.
+func (c *steppingClock) Now() time.Time {
+	c.now = c.now.Add(20 * time.Millisecond)
+	return c.now
+}
+
+// TestRequestBeyondTheVMsPartOfTheRateWaitsForALeader replays the loss of a leader: what a VM may not grant on its own is served once
+// there is a successor, and refused at once when none is expected.
+func TestRequestBeyondTheVMsPartOfTheRateWaitsForALeader(t *testing.T) {
+	for _, c := range []struct {
+		expected bool
+		status   int
+	}{{true, 200}, {false, 503}} {
+		b := newBench([]message.Grant{grant(1)}, answered(message.Succeeded, 200))
+		b.solo = solo.New("z", rand.New(rand.NewPCG(1, 2)))
+		state := func(inTouch bool) *State {
+			s := ready()
+			s.InTouch, s.Unsettled = inTouch, c.expected
+			s.Config.Teams = map[azuretiller.TeamID]config.Team{"team": {ID: "team", Rate: 1}}
+			s.Config.Keys = map[azuretiller.KeyHash]azuretiller.TeamID{azuretiller.HashKey("key"): "team"}
+			return s
+		}
+		clock := &steppingClock{now: time.Now()}
+		b.common.Clock = clock
+		there := clock.now.Add(leaderWait + 100*time.Millisecond)
+		b.current = func() *State { return state(c.expected && clock.now.After(there)) }
+		r := httptest.NewRequestWithContext(context.Background(), "POST", "http://h/keyed/1", strings.NewReader(""))
+		r.Header.Set("Authorization", "Bearer key")
+		w := httptest.NewRecorder()
+		b.ServeHTTP(w, r)
+		assert.Equal(t, c.status, w.Code)
+	}
+}
--- a/pkg/gateway/params.go
+++ b/pkg/gateway/params.go
@@ -18,6 +18,9 @@
 	leaderPoll = 10 * time.Millisecond
 	// mostUnsent bounds the attempts beyond those of the route for which no connection could be made.
 	mostUnsent = 3
+	// leaderShare is the share of the objective until which a request waits for a leader that is expected soon, when this VM's part of
+	// the team's rate is spent; the rest is left for the work.
+	leaderShare = 0.6
 	// leastLeft is the time that must be left for one more attempt.
 	leastLeft = 60 * time.Millisecond
 	// hedgeShare is the share of the objective after which a request that may run twice is sent to a second server.
--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -197,14 +197,31 @@
 	if q.hedge {
 		return message.Grant{Code: azuretiller.CodeHomeUnreachable}, true
 	}
-	state = c.gateway.current()
+	grant := c.placeAlone(q)
+	if grant.Code != azuretiller.CodeRateUnavailable || q.number > 1 {
+		return grant, true
+	}
+	// This VM's part of the rate is spent, but a leader has the whole rate.
+	c.state = c.gateway.current()
+	patience := time.Duration(float64(c.route.Objective) * leaderShare)
+	if c.awaitLeader(ctx, c.started.Add(patience)) {
+		if led, err := c.askLeader(ctx, c.state, q); err == nil {
+			return led, false
+		}
+	}
+	return grant, true
+}
+
+// placeAlone decides without the leader, by the newest view and this VM's part of the team's rate.
+func (c *call) placeAlone(q question) message.Grant {
+	state := c.gateway.current()
 	return c.gateway.solo.Place(c.gateway.common.Clock.Now(), solo.Want{
 		Team:     c.team.ID,
 		Rate:     c.team.Rate,
 		Backends: q.backends,
 		Tried:    q.tried,
 		First:    q.number == 1,
-	}, state.Servers, len(state.Members)), true
+	}, state.Servers, len(state.Members))
 }
 
 var errNoAnswer = errors.New("no answer of the leader")
