--- a/pkg/leader/leader.go
+++ b/pkg/leader/leader.go
@@ -51,6 +51,9 @@
 	version  uint64
 	changed  bool
 	viewSent time.Time
+	// repairs is the number of entries of whole views that may be sent now, as of repairsAt.
+	repairs   float64
+	repairsAt time.Time
 }
 
 type member struct {
@@ -85,6 +88,8 @@
 		members:   map[string]*member{},
 		lost:      map[string]time.Time{},
 		confirmed: now,
+		repairs:   repairRate,
+		repairsAt: now,
 		desks:     map[azuretiller.ServiceID]*desk.Desk{},
 		tickets:   desk.NewTickets(0),
 		crashes:   crash.New(),
--- a/pkg/leader/leader_test.go
+++ b/pkg/leader/leader_test.go
@@ -1,6 +1,7 @@
 package leader
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -179,3 +180,43 @@
 	l.SetParams(p)
 	assert.Equal(t, before+20*azuretiller.TokenCost, l.firstTokens("team", limit))
 }
+
+// TestWholeViewsAreBounded replays a large fleet all of whose VMs miss the view: the whole view goes to a few at a time.
+func TestWholeViewsAreBounded(t *testing.T) {
+	l := newLeader()
+	now := start()
+	l.SetServers(now, map[azuretiller.ServiceID][]desk.Server{"s": manyServers(3000)})
+	beat := func(i int) []Effect {
+		return l.Receive(now, fmt.Sprint("10.0.0.", i, ":1"), message.Envelope{Body: message.Beat{
+			VM: azuretiller.VMID(fmt.Sprint("vm-", i)), Zone: "z", Ready: true,
+		}})
+	}
+	for i := range 300 {
+		beat(i)
+	}
+	now = now.Add(time.Second)
+	l.Tick(now)
+	sent := 0
+	for range 3 {
+		now = now.Add(time.Second)
+		for i := range 300 {
+			for _, e := range beat(i) {
+				if s, ok := e.(Send); ok {
+					if v, ok := s.Message.Body.(message.View); ok {
+						sent += v.Entries()
+					}
+				}
+			}
+		}
+	}
+	assert.Positive(t, sent)
+	assert.LessOrEqual(t, sent, 4*repairRate+4000)
+}
+
+func manyServers(n int) []desk.Server {
+	var list []desk.Server
+	for i := range n {
+		list = append(list, desk.Server{ID: azuretiller.InstanceID(fmt.Sprintf("s-%04d", i)), Address: "10.1.0.1:80", Slots: 3})
+	}
+	return list
+}
--- a/pkg/leader/members.go
+++ b/pkg/leader/members.go
@@ -70,13 +70,27 @@
 	m.heard = now
 	delete(l.lost, from)
 	effects = append(effects, Send{To: from, Message: message.Envelope{Call: call, Body: l.hello(true)}})
-	if b.View != l.version && now.Sub(m.viewAt) > viewRepeat && !l.changed && l.version > 0 {
+	if b.View != l.version && now.Sub(m.viewAt) > viewRepeat && !l.changed && l.version > 0 && l.repair(now) {
 		m.viewAt = now
 		effects = append(effects, sendParts(from, l.sent)...)
 	}
 	return effects
 }
 
+// repair reports whether the whole view may be sent to one more VM.
+//
+// The load it answers: all VMs of a large fleet start together and miss the first views. Sent to all at once, the whole view would
+// fill the leader's link for seconds, and the decisions behind it would come too late.
+func (l *Leader) repair(now time.Time) bool {
+	l.repairs = min(repairRate, l.repairs+repairRate*now.Sub(l.repairsAt).Seconds())
+	l.repairsAt = now
+	if l.repairs <= 0 {
+		return false
+	}
+	l.repairs -= float64(l.sent.Entries())
+	return true
+}
+
 // Confirmed notes that the leader record names this leader's term.
 func (l *Leader) Confirmed(now time.Time) { l.confirmed = now }
 
--- a/pkg/leader/params.go
+++ b/pkg/leader/params.go
@@ -28,6 +28,8 @@
 	// and lostMemory how long that goes on.
 	lostGap    = time.Second
 	lostMemory = time.Minute
+	// repairRate bounds the entries of whole views that are sent again, in 1/s: 66 bytes each make 1.3 MB/s, the least link of a VM.
+	repairRate = 20000
 	// fewShare is the share of the largest number of VMs within peakMemory below which the leader may be cut off from a
 	// newer one: it hands out only its share of the rates until the leader record confirms its term.
 	fewShare   = 0.6
