Report results to the leader that granted the server

Found on reading the change: a request that was granted a server by another leader than the one it asked first reported its result to the first, so that the slot stayed taken until the deadline; and waiting for a leader wrote state that a second attempt reads. An attempt now keeps the leader that answered it.

--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -60,24 +60,22 @@
 // The load it answers: all VMs are killed and come back together, or the leader is lost. Either is over within tenths of a
 // second, while a refusal would cost the caller the whole request.
 func (c *call) settleIn(ctx context.Context) {
-	c.awaitLeader(ctx, c.started.Add(leaderWait))
+	c.state = c.awaitLeader(ctx, c.state, c.started.Add(leaderWait))
 }
 
-// awaitLeader waits while a configuration and a leader are expected soon, and reports whether they are there.
-func (c *call) awaitLeader(ctx context.Context, until time.Time) bool {
-	for !c.settled() && c.state.Unsettled && c.gateway.common.Clock.Now().Before(until) {
+// awaitLeader waits while a configuration and a leader are expected soon, and returns the newest state.
+func (c *call) awaitLeader(ctx context.Context, state *State, until time.Time) *State {
+	for !state.settled() && state.Unsettled && c.gateway.common.Clock.Now().Before(until) {
 		select {
 		case <-ctx.Done():
-			return false
+			return state
 		case <-time.After(leaderPoll):
 		}
-		c.state = c.gateway.current()
+		state = c.gateway.current()
 	}
-	return c.settled()
+	return state
 }
 
-func (c *call) settled() bool { return c.state.Config != nil && c.state.InTouch }
-
 // prepare finds the route and the team, and reads the body.
 func (c *call) prepare() azuretiller.Code {
 	if c.state.Config == nil {
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -33,6 +33,8 @@
 	asked  []message.Ask
 	calls  map[uint64]chan any
 	last   uint64
+	// reported has the addresses that results were reported to.
+	reported chan string
 }
 
 func (l *fakeLink) Open() (uint64, <-chan any, func()) {
@@ -44,7 +46,7 @@
 	return l.last, c, func() {}
 }
 
-func (l *fakeLink) Send(_ string, e message.Envelope) error {
+func (l *fakeLink) Send(to string, e message.Envelope) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch b := e.Body.(type) {
@@ -56,6 +58,7 @@
 		}
 	case message.Report:
 		l.calls[e.Call] <- message.Seen{}
+		l.reported <- to
 	}
 	return nil
 }
@@ -87,7 +90,7 @@
 }
 
 func newBench(grants []message.Grant, answers ...upstream.Answer) *bench {
-	b := &bench{link: &fakeLink{calls: map[uint64]chan any{}, grants: grants}, sender: &fakeSender{answers: answers}}
+	b := &bench{link: &fakeLink{calls: map[uint64]chan any{}, grants: grants, reported: make(chan string, 9)}, sender: &fakeSender{answers: answers}}
 	c := &common.Common{Log: &log.Logger{Handler: discard.New()}, Clock: systemclock.New(), Metrics: tally.NoopScope}
 	b.Gateway = New(c, b.state.Load, b.link, b.sender, solo.New("z", nil))
 	b.state.Store(ready())
@@ -246,6 +249,9 @@
 		state := func(inTouch bool) *State {
 			s := ready()
 			s.InTouch, s.Unsettled = inTouch, c.expected
+			if inTouch {
+				s.Leader = "10.0.0.2:1"
+			}
 			s.Config.Teams = map[azuretiller.TeamID]config.Team{"team": {ID: "team", Rate: 1}}
 			s.Config.Keys = map[azuretiller.KeyHash]azuretiller.TeamID{azuretiller.HashKey("key"): "team"}
 			return s
@@ -259,5 +265,8 @@
 		w := httptest.NewRecorder()
 		b.ServeHTTP(w, r)
 		assert.Equal(t, c.status, w.Code)
+		if c.expected {
+			assert.Equal(t, "10.0.0.2:1", <-b.link.reported, "the leader that granted the server gets the result")
+		}
 	}
 }
--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -83,7 +83,7 @@
 				return
 			}
 		case <-hedge.C:
-			if c.route.IsIdempotent("") && c.sent < c.route.Attempts && pending == 1 && len(backends) == 1 && !c.alone {
+			if c.route.IsIdempotent("") && c.attemptsLeft() && pending == 1 && len(backends) == 1 && !c.alone {
 				pending++
 				launch(nil, true)
 			}
@@ -106,9 +106,14 @@
 	return old
 }
 
+// attemptsLeft reports whether the route allows one more attempt; those that were not sent are bounded apart.
+func (c *call) attemptsLeft() bool {
+	return c.sent < c.route.Attempts && c.attempts < c.route.Attempts+mostUnsent
+}
+
 // mayRetry reports whether a failed attempt may be followed by another one.
 func (c *call) mayRetry(ctx context.Context, a attempt, pending int) bool {
-	if a.grant.Server == "" || c.sent >= c.route.Attempts || c.attempts >= c.route.Attempts+mostUnsent || pending > 0 || c.alone && !a.answer.Result.NotRun() {
+	if a.grant.Server == "" || !c.attemptsLeft() || pending > 0 || c.alone && !a.answer.Result.NotRun() {
 		return false
 	}
 	if !a.answer.Result.NotRun() && !c.route.IsIdempotent("") {
@@ -132,8 +137,7 @@
 
 // attempt asks for a server and sends the request there.
 func (c *call) attempt(ctx context.Context, q question) attempt {
-	a := attempt{leader: c.state.Leader}
-	a.grant, a.alone = c.ask(ctx, q)
+	a := c.ask(ctx, q)
 	if a.grant.Code != azuretiller.CodeOK || a.grant.Server == "" {
 		return a
 	}
@@ -175,8 +179,8 @@
 	go c.gateway.report(a.leader, r)
 }
 
-// ask gets a server from the leader, or decides alone when the leader does not answer; it reports whether it did.
-func (c *call) ask(ctx context.Context, q question) (message.Grant, bool) {
+// ask gets a server from the leader, or decides alone when the leader does not answer.
+func (c *call) ask(ctx context.Context, q question) attempt {
 	state := c.state
 	for range mostLeaders {
 		if !state.InTouch || q.alone {
@@ -184,10 +188,10 @@
 		}
 		grant, err := c.askLeader(ctx, state, q)
 		if err == nil {
-			return grant, false
+			return attempt{grant: grant, leader: state.Leader}
 		}
 		if ctx.Err() != nil {
-			return message.Grant{Code: azuretiller.CodeQueueTimeout}, false
+			return attempt{grant: message.Grant{Code: azuretiller.CodeQueueTimeout}}
 		}
 		asked := state.Leader
 		if state = c.gateway.current(); state.Leader == asked {
@@ -195,21 +199,20 @@
 		}
 	}
 	if q.hedge {
-		return message.Grant{Code: azuretiller.CodeHomeUnreachable}, true
+		return attempt{grant: message.Grant{Code: azuretiller.CodeHomeUnreachable}, alone: true}
 	}
-	grant := c.placeAlone(q)
-	if grant.Code != azuretiller.CodeRateUnavailable || q.number > 1 {
-		return grant, true
+	alone := attempt{grant: c.placeAlone(q), leader: state.Leader, alone: true}
+	if alone.grant.Code != azuretiller.CodeRateUnavailable || q.number > 1 {
+		return alone
 	}
 	// This VM's part of the rate is spent, but a leader has the whole rate.
-	c.state = c.gateway.current()
 	patience := time.Duration(float64(c.route.Objective) * leaderShare)
-	if c.awaitLeader(ctx, c.started.Add(patience)) {
-		if led, err := c.askLeader(ctx, c.state, q); err == nil {
-			return led, false
+	if state = c.awaitLeader(ctx, c.gateway.current(), c.started.Add(patience)); state.settled() {
+		if grant, err := c.askLeader(ctx, state, q); err == nil {
+			return attempt{grant: grant, leader: state.Leader}
 		}
 	}
-	return grant, true
+	return alone
 }
 
 // placeAlone decides without the leader, by the newest view and this VM's part of the team's rate.
--- a/pkg/gateway/state.go
+++ b/pkg/gateway/state.go
@@ -29,3 +29,5 @@
 func (s *State) Ready() bool {
 	return s.Config != nil && !s.Leaving && (s.InTouch || len(s.Servers) > 0)
 }
+
+func (s *State) settled() bool { return s.Config != nil && s.InTouch }
--- a/pkg/message/result.go
+++ b/pkg/message/result.go
@@ -40,5 +40,5 @@
 	return names[r]
 }
 
-// Reached reports whether the server decided about the request: it ran it, or turned it away.
+// Reached reports whether the server got the request, so that it took it or turned it away.
 func (r Result) Reached() bool { return r.Sent() && r != Misdirected && r != Cancelled }
