Show in the leader's dump what it believes of each server

On-call engineers see why a server is avoided: chances of taking and answering a request, ages of the newest start and failure, and what closes it. TestDumpOfALeaderShowsItsBeliefs and TestStateShowsWhatIsBelieved.

--- a/pkg/desk/desk_test.go
+++ b/pkg/desk/desk_test.go
@@ -107,6 +107,26 @@
 	assert.Positive(t, d.find(c.Server.ID).room(now.Add(downTime)))
 }
 
+func TestStateShowsWhatIsBelieved(t *testing.T) {
+	now := start()
+	d := newDesk(now, plain(2)...)
+	first, _ := granted(d.Offer(now, ask(now, 1)))
+	second, _ := granted(d.Offer(now, ask(now, 2)))
+	d.Finish(now, first.Ticket, message.Failed, time.Millisecond, 0)
+	d.Finish(now, second.Ticket, message.Shed, time.Millisecond, 0)
+	s := d.State(now.Add(time.Second))
+	require.Len(t, s.Servers, 2)
+	failed, shed := s.Servers[0], s.Servers[1]
+	if failed.ID != first.Server.ID {
+		failed, shed = shed, failed
+	}
+	assert.Equal(t, time.Second, failed.SinceFailure)
+	assert.Zero(t, shed.SinceFailure)
+	assert.Less(t, failed.Answers, shed.Answers)
+	assert.Less(t, shed.Takes, failed.Takes)
+	assert.Zero(t, s.Running)
+}
+
 func TestUnreachableServerIsLeftOutForThatVM(t *testing.T) {
 	now := start()
 	d := newDesk(now, plain(2)...)
--- a/pkg/edge/control.go
+++ b/pkg/edge/control.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"net/http"
 	"time"
 
 	"github.com/apex/log"
@@ -345,31 +343,3 @@
 	}
 	return servers
 }
-
-// serveDump writes the state of the process.
-func (e *Edge) serveDump(w http.ResponseWriter, r *http.Request) {
-	answer := make(chan []byte, 1)
-	e.post(e.inbox, func() {
-		leaderID, address := e.member.Leader()
-		data, err := json.MarshalIndent(map[string]any{
-			"vm":       e.self.ID,
-			"term":     e.member.Term(),
-			"leader":   leaderID,
-			"address":  address,
-			"leading":  e.leader != nil,
-			"revision": e.revision(),
-			"members":  e.member.View().Members,
-			"servers":  e.member.View().Servers,
-		}, "", "  ")
-		if err != nil {
-			data = []byte(err.Error())
-		}
-		answer <- data
-	})
-	select {
-	case data := <-answer:
-		w.Header().Set("Content-Type", "application/json")
-		_, _ = w.Write(data)
-	case <-r.Context().Done():
-	}
-}
--- /dev/null
+++ b/pkg/edge/dump.go
@@ -0,0 +1,47 @@
+package edge
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+)
+
+// serveDump writes the state of the process.
+func (e *Edge) serveDump(w http.ResponseWriter, r *http.Request) {
+	answer := make(chan []byte, 1)
+	e.post(e.inbox, func() {
+		data, err := json.MarshalIndent(e.dump(e.common.Clock.Now()), "", "  ")
+		if err != nil {
+			data = []byte(err.Error())
+		}
+		answer <- data
+	})
+	select {
+	case data := <-answer:
+		w.Header().Set("Content-Type", "application/json")
+		_, _ = w.Write(data)
+	case <-r.Context().Done():
+	}
+}
+
+// dump returns the state of the process; a leader adds what it believes of the servers.
+func (e *Edge) dump(now time.Time) map[string]any {
+	leaderID, address := e.member.Leader()
+	view := e.member.View()
+	state := map[string]any{
+		"vm":          e.self.ID,
+		"term":        e.member.Term(),
+		"leader":      leaderID,
+		"address":     address,
+		"leading":     e.leader != nil,
+		"outoftouch":  e.member.OutFor(now).String(),
+		"revision":    e.revision(),
+		"viewversion": view.Version,
+		"members":     view.Members,
+		"servers":     view.Servers,
+	}
+	if e.leader != nil {
+		state["services"] = e.leader.Desks(now)
+	}
+	return state
+}
--- a/pkg/edge/edge_test.go
+++ b/pkg/edge/edge_test.go
@@ -2,16 +2,20 @@
 
 import (
 	"context"
+	"encoding/json"
 	"testing"
 	"time"
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 	"github.com/uber-go/tally/v4"
 
 	"github.com/azuretiller/azuretiller"
 	"github.com/azuretiller/azuretiller/pkg/common"
+	"github.com/azuretiller/azuretiller/pkg/desk"
+	"github.com/azuretiller/azuretiller/pkg/leader"
 	"github.com/azuretiller/azuretiller/pkg/message"
 	"github.com/azuretiller/azuretiller/pkg/systemclock"
 	"github.com/azuretiller/azuretiller/platform"
@@ -74,3 +78,18 @@
 	e.takeFetched(t.Context(), now.Add(fetchRetry+time.Millisecond), fetched{err: errNoSettings, from: "127.0.0.1:2"})
 	assert.True(t, e.feed.fetchFailed, "the leader is asked")
 }
+
+// TestDumpOfALeaderShowsItsBeliefs: an engineer sees why a server is avoided.
+func TestDumpOfALeaderShowsItsBeliefs(t *testing.T) {
+	c := &common.Common{Log: &log.Logger{Handler: discard.New()}, Clock: systemclock.New(), Metrics: tally.NoopScope}
+	e := New(c, platform.Settings{VM: "vm", Zone: "z", Peer: "127.0.0.1:1"}, nil)
+	now := c.Clock.Now()
+	assert.NotContains(t, e.dump(now), "services")
+	e.leader = leader.New(now, e.params(), e.check, 1, "vm", "127.0.0.1:1", nil)
+	e.leader.SetServers(now, map[azuretiller.ServiceID][]desk.Server{"s": {{ID: "a", Slots: 3}}})
+	data, err := json.Marshal(e.dump(now))
+	require.NoError(t, err)
+	for _, want := range []string{`"services":{"s":`, `"Answers":`, `"Takes":`, `"SinceFailure":`} {
+		assert.Contains(t, string(data), want)
+	}
+}
--- a/pkg/leader/members.go
+++ b/pkg/leader/members.go
@@ -9,6 +9,7 @@
 	"github.com/apex/log"
 
 	"github.com/azuretiller/azuretiller"
+	"github.com/azuretiller/azuretiller/pkg/desk"
 	"github.com/azuretiller/azuretiller/pkg/message"
 )
 
@@ -194,3 +195,12 @@
 
 // Members returns the number of VMs that send heartbeats.
 func (l *Leader) Members() int { return len(l.members) }
+
+// Desks returns what the leader knows of each service, for dumps.
+func (l *Leader) Desks(now time.Time) map[azuretiller.ServiceID]desk.State {
+	states := map[azuretiller.ServiceID]desk.State{}
+	for service, d := range l.desks {
+		states[service] = d.State(now)
+	}
+	return states
+}
