Count only attempts that arrived as use of a server

After a part of the VMs lost their paths to half of the servers, the rule that keeps sound servers in use sent each of these one request from a VM without a path: the attempt counted as use, and its failure took the server out of those that count as sound for 4 s.

--- a/pkg/desk/desk.go
+++ b/pkg/desk/desk.go
@@ -50,6 +50,8 @@
 	Request
 	server  *server
 	started time.Time
+	// before is the start of the server's attempt before this one.
+	before  time.Time
 	overdue bool
 }
 
@@ -247,13 +249,14 @@
 		Deadline:    w.Deadline,
 		Fingerprint: w.Fingerprint,
 	}
+	before := s.lastStart
 	s.start(now)
 	if w.Idempotent {
 		d.reads.add(now)
 	}
 	d.check.That(!now.Before(s.ColdUntil) || s.ColdRate <= 0 || len(s.coldStarts) <= int(s.ColdRate),
 		"cold server %s would get %d requests in a second", s.ID, len(s.coldStarts))
-	d.running[decision.Ticket] = &attempt{Request: w.Request, server: s, started: now}
+	d.running[decision.Ticket] = &attempt{Request: w.Request, server: s, started: now, before: before}
 	return decision
 }
 
@@ -283,9 +286,13 @@
 // learn draws conclusions about the server and the usual service time.
 func (d *Desk) learn(now time.Time, a *attempt, result message.Result, took time.Duration) {
 	s := a.server
-	if result != message.Succeeded && result != message.Shed && result != message.Cancelled {
+	if result != message.Succeeded && result != message.Shed && result != message.Cancelled && result != message.Unreachable {
 		s.lastFailure = now
 	}
+	if !result.Sent() && s.lastStart.Equal(a.started) {
+		// The server got nothing.
+		s.lastStart = a.before
+	}
 	if result.Reached() {
 		s.shedding.Observe(now, result == message.Shed, 1)
 	}
--- a/pkg/desk/desk_test.go
+++ b/pkg/desk/desk_test.go
@@ -107,6 +107,26 @@
 	assert.Positive(t, d.find(c.Server.ID).room(now.Add(downTime)))
 }
 
+// TestServerBehindABrokenPathStaysInUse replays servers that some VMs cannot reach: an attempt that never arrived is no use of a
+// server, and no failure of it, so that others are sent there instead.
+func TestServerBehindABrokenPathStaysInUse(t *testing.T) {
+	now := start()
+	d := newDesk(now, plain(1)...)
+	c, ok := granted(d.Offer(now, ask(now, 1)))
+	require.True(t, ok)
+	now = now.Add(time.Millisecond)
+	d.Finish(now, c.Ticket, message.Succeeded, time.Millisecond, 0)
+	used := d.servers[0].lastStart
+	now = now.Add(3 * time.Second)
+	c, ok = granted(d.Offer(now, ask(now, 2)))
+	require.True(t, ok)
+	now = now.Add(250 * time.Millisecond)
+	d.Finish(now, c.Ticket, message.Unreachable, time.Millisecond, 0)
+	assert.Equal(t, used, d.servers[0].lastStart)
+	assert.True(t, d.servers[0].sound(now, soundAfter))
+	assert.False(t, d.servers[0].reachableFrom("vm", now))
+}
+
 func TestStateShowsWhatIsBelieved(t *testing.T) {
 	now := start()
 	d := newDesk(now, plain(2)...)
