Stream large request bodies, and bound the memory and the time of all

Cause: edge read the whole body into memory before the first attempt, up to 8 MB a request and without a bound for all of them, and without a deadline. A caller that sent nothing occupied the VM for as long as it liked, also while the VM stopped; a refusal waited for up to 256 KB of a body that nobody wanted. When the context of a request ended since its caller had closed its sending side, the handler wrote nothing, and net/http sent an empty response with status 200.

Change: pkg/replay, which serve had, buffers bodies in pieces within a limit and a budget of the VM, and has no data race between readers (a second reader of a body beyond the limit could return its rest as the whole). The gateway fills the buffer before it asks for a server, so that the caller's link occupies none; a longer body is read while it is sent, once. Time spent on the caller is not counted as time of the server, and a body that breaks off is no evidence against it. Reads end at the deadline of the request, or when the VM stops before that. The size of bodies counts for the cost of another zone.

New tests that failed on the code before: TestLargeUploadIsStreamedWithBackpressure, TestStreamedUploadIsSentOnce, TestSlowCallerIsNoEvidenceAgainstServer, TestSlowBodyIsRefusedAtDeadline, TestRefusalDoesNotWaitForBody, TestConnectionIsUsableAfterRefusedBody, TestEarlyResponseReachesSlowCaller, TestBrokenUploadIsNeverWhole (its streamed cases), TestStoppingVMRefusesUploadThatIsBeingRead, TestBodyOfUnknownSizeThatIsTooLong, TestHalfClosedCallerGetsNoEmptySuccess. The others are guards that passed before or could not be built there. TestRequestCutByStopIsLoggedAsSuch now also requires that the connection is aborted.

--- a/code.go
+++ b/code.go
@@ -14,6 +14,7 @@
 	CodeBodyTooLarge       Code = 2004
 	CodeMalformed          Code = 2005
 	CodeRequestIDReused    Code = 2006
+	CodeBodyTimeout        Code = 2007
 	CodeRateExceeded       Code = 3000
 	CodeRateUnavailable    Code = 3001
 	CodeOverloaded         Code = 3002
@@ -37,6 +38,8 @@
 	CodeInProgress         Code = 4005
 	CodeCancelled          Code = 4006
 	CodeAnswerNotKept      Code = 4007
+	CodeBodyInterrupted    Code = 4008
+	CodeBodyTooLong        Code = 4009
 )
 
 // Outcome reports whether a request with this code was executed; it is MayHaveRun for unknown codes.
--- a/code_info.go
+++ b/code_info.go
@@ -31,6 +31,7 @@
 		{CodeBodyTooLarge, "body-too-large", 413, NotRun, "The declared body is larger than the route allows."},
 		{CodeMalformed, "malformed", 400, NotRun, "The request is not well-formed."},
 		{CodeRequestIDReused, "request-id-reused", 422, NotRun, "The request id was used for a different request of the team; this one was not run."},
+		{CodeBodyTimeout, "body-timeout", 408, NotRun, "The caller did not send the body in time; no backend server got any of it."},
 		{CodeRateExceeded, "rate-exceeded", 429, NotRun, "The team has used up its rate and burst."},
 		{CodeRateUnavailable, "rate-unavailable", 503, NotRun, "The VMs that hold the team's rate cannot be reached."},
 		{CodeOverloaded, "overloaded", 503, NotRun, "No pool of the service has room in its queue."},
@@ -54,5 +55,7 @@
 		{CodeInProgress, "in-progress", 409, MayHaveRun, "A request with the same id was started and has not ended."},
 		{CodeCancelled, "cancelled", 499, MayHaveRun, "The caller went away before the answer."},
 		{CodeAnswerNotKept, "answer-not-kept", 409, Done, "A request with the same id ended; its answer was too large to be kept."},
+		{CodeBodyInterrupted, "body-interrupted", 502, MayHaveRun, "The body broke off or came too slowly; a backend server got only its start."},
+		{CodeBodyTooLong, "body-too-long", 413, MayHaveRun, "The body exceeds the limit without having declared its size; a backend server got only its start."},
 	}
 }
--- a/pkg/bytebudget/budget.go
+++ b/pkg/bytebudget/budget.go
@@ -1,20 +1,21 @@
-package upstream
+package bytebudget
 
 import "sync/atomic"
 
-// bodyBudget limits the bytes that all buffered response bodies occupy together.
-type bodyBudget struct {
+// Budget limits the bytes that all its holders occupy together.
+type Budget struct {
 	left atomic.Int64
 }
 
-func newBodyBudget(size int64) *bodyBudget {
-	b := &bodyBudget{}
+// New returns a budget of the given size in bytes.
+func New(size int64) *Budget {
+	b := &Budget{}
 	b.left.Store(size)
 	return b
 }
 
-// take reserves n bytes, or returns false if fewer are left.
-func (b *bodyBudget) take(n int64) bool {
+// Take reserves n bytes, or returns false if fewer are left.
+func (b *Budget) Take(n int64) bool {
 	if b.left.Add(-n) >= 0 {
 		return true
 	}
@@ -22,5 +23,5 @@
 	return false
 }
 
-// put returns n reserved bytes.
-func (b *bodyBudget) put(n int64) { b.left.Add(n) }
+// Put returns n reserved bytes.
+func (b *Budget) Put(n int64) { b.left.Add(n) }
--- /dev/null
+++ b/pkg/bytebudget/doc.go
@@ -0,0 +1,2 @@
+// Package bytebudget limits the memory that buffers of many requests occupy together.
+package bytebudget
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -23,14 +23,17 @@
 	// leaderAddress is the host:port of the leader that gets the report on the attempt.
 	leaderAddress string
 	response      upstream.Response
-	elapsed       time.Duration
+	// elapsed is the duration of the attempt without the time that reads from the caller took.
+	elapsed time.Duration
+	// bytesSent is the size of the request body in bytes.
+	bytesSent int64
 	// withoutLeader means that this VM selected the server without the leader.
 	withoutLeader bool
 }
 
 // report returns the report on the attempt for the leader.
 func (a attempt) report() message.Report {
-	r := message.Report{Ticket: a.placement.Ticket, Result: a.response.Result, Took: a.elapsed, Bytes: len(a.response.Body), Term: a.placement.Term}
+	r := message.Report{Ticket: a.placement.Ticket, Result: a.response.Result, Took: a.elapsed, Bytes: len(a.response.Body) + int(a.bytesSent), Term: a.placement.Term}
 	if notice := a.response.Notice; notice.Leaving || notice.PauseFor > 0 {
 		r.Server, r.Incarnation = a.placement.Server, a.placement.Incarnation
 		r.Leaving, r.PauseFor = notice.Leaving, notice.PauseFor
@@ -98,7 +101,7 @@
 				return
 			}
 		case <-hedge.C:
-			if c.route.IsIdempotent("") && c.hasAttemptsLeft() && pending == 1 && len(backends) == 1 && !c.withoutLeader {
+			if c.route.IsIdempotent("") && c.isBuffered() && c.hasAttemptsLeft() && pending == 1 && len(backends) == 1 && !c.withoutLeader {
 				pending++
 				launch(nil, true)
 			}
@@ -131,7 +134,7 @@
 // mayRetry reports whether the request may be attempted again after a failed attempt. There is no retry while another attempt is
 // still running, nor if too little time is left.
 func (c *call) mayRetry(ctx context.Context, a attempt, pending int) bool {
-	if a.placement.Server == "" || !c.hasAttemptsLeft() || pending > 0 || c.withoutLeader && !a.response.Result.NotRun() {
+	if a.placement.Server == "" || !c.hasAttemptsLeft() || !c.isReplayable() || pending > 0 || c.withoutLeader && !a.response.Result.NotRun() {
 		return false
 	}
 	if !a.response.Result.NotRun() && !c.route.IsIdempotent("") {
@@ -160,9 +163,10 @@
 	if a.placement.Code != azuretiller.CodeOK || a.placement.Server == "" {
 		return a
 	}
-	started := c.gateway.common.Clock.Now()
+	started, waited := c.gateway.common.Clock.Now(), c.callerWait()
 	a.response = c.send(ctx, a.placement)
-	a.elapsed = c.gateway.common.Clock.Now().Sub(started)
+	a.elapsed = c.gateway.common.Clock.Now().Sub(started) - (c.callerWait() - waited)
+	a.bytesSent = c.bytesReceived()
 	if a.placement.Ticket == 0 {
 		c.finishLocal(a)
 	}
@@ -204,11 +208,16 @@
 		Target:   c.request.RequestURI,
 		Host:     c.request.Host,
 		Headers:  c.headers,
-		Body:     c.body,
+		Body:     c.bodyReader(),
+		BodySize: c.bodySize(),
 		ID:       c.id,
 		Deadline: deadline,
 	})
 	c.recordNotice(server, response.Notice)
+	if response.Result == message.TimedOut && c.isBodyOverdue() {
+		// The server cannot respond to a request that it has not received completely.
+		response.Result = message.Cancelled
+	}
 	return response
 }
 
@@ -340,7 +349,7 @@
 		Idempotent:  c.route.IsIdempotent(""),
 		Attempt:     q.attemptNumber,
 		Tried:       q.tried,
-		Fingerprint: c.fingerprint(),
+		Fingerprint: c.fingerprint,
 		LastReport:  q.previous,
 		Term:        state.Term,
 		Hedge:       q.hedge,
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -29,9 +27,11 @@
 	id      string
 	route   config.Route
 	team    config.Team
-	body    []byte
-	headers http.Header
-	timeout time.Duration
+	// body is nil if the request has no body.
+	body        *body
+	fingerprint uint64
+	headers     http.Header
+	timeout     time.Duration
 	// The fields below are written to the log line of the request.
 	code     azuretiller.Code
 	status   int
@@ -54,6 +54,7 @@
 		writer:  w,
 		request: r,
 		state:   g.current(),
+		body:    g.newBody(w, r),
 		started: g.common.Clock.Now(),
 		id:      r.Header.Get(platform.HeaderAttempt),
 	}
@@ -79,7 +80,7 @@
 	return state
 }
 
-// prepare finds the route and the team, and reads the body.
+// prepare finds the route and the team, and reads the body as far as it may be buffered.
 func (c *call) prepare() azuretiller.Code {
 	if c.state.Config == nil {
 		return azuretiller.CodeNotReady
@@ -105,7 +106,11 @@
 	if c.team.ID != "" {
 		c.headers.Set(platform.HeaderTeam, string(c.team.ID))
 	}
-	return c.readBody()
+	if code := c.readBody(); code != azuretiller.CodeOK {
+		return code
+	}
+	c.computeFingerprint()
+	return azuretiller.CodeOK
 }
 
 func (c *call) identifyTeam() azuretiller.Code {
@@ -127,28 +132,6 @@
 	return azuretiller.CodeOK
 }
 
-// readBody reads the complete body before the first attempt, so that it can be sent again. net/http notices that a caller
-// disconnected only after the body was read.
-func (c *call) readBody() azuretiller.Code {
-	maxBody := c.state.Config.Limits.MaxBodyBytes
-	if maxBody <= 0 {
-		maxBody = defaultMaxBody
-	}
-	if c.request.ContentLength > maxBody {
-		return azuretiller.CodeBodyTooLarge
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(c.writer, c.request.Body, maxBody))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return azuretiller.CodeBodyTooLarge
-	case err != nil:
-		return azuretiller.CodeMalformed
-	}
-	c.body = body
-	return azuretiller.CodeOK
-}
-
 func (c *call) priority() int {
 	if c.team.HasPriority {
 		return c.team.Priority
@@ -156,15 +139,18 @@
 	return c.route.Priority
 }
 
-// fingerprint returns a hash of the request without its ids, so that repeated requests have the same value.
-func (c *call) fingerprint() uint64 {
+// computeFingerprint hashes the request without its ids, so that repeated requests have the same value. Of a body that is too long to be
+// buffered, only the start counts.
+func (c *call) computeFingerprint() {
 	d := xxhash.New()
 	for _, part := range []string{string(c.team.ID), c.request.Method, c.request.Host, c.request.URL.RequestURI()} {
 		_, _ = d.WriteString(part)
 		_, _ = d.Write([]byte{0})
 	}
-	_, _ = d.Write(c.body)
-	return d.Sum64()
+	if c.body != nil {
+		c.body.data.WriteBuffered(d)
+	}
+	c.fingerprint = d.Sum64()
 }
 
 // log writes the log line and records the metrics of the request.
@@ -191,6 +177,7 @@
 		"service":  c.service,
 		"server":   c.server,
 		"attempts": c.attempts,
+		"received": c.bytesReceived(),
 		"took":     elapsed,
 		"mode":     mode,
 		"term":     c.state.Term,
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -4,10 +4,12 @@
 	"context"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/azuretiller/azuretiller"
+	"github.com/azuretiller/azuretiller/pkg/bytebudget"
 	"github.com/azuretiller/azuretiller/pkg/common"
 	"github.com/azuretiller/azuretiller/pkg/fallback"
 	"github.com/azuretiller/azuretiller/pkg/message"
@@ -38,6 +40,11 @@
 	placer    *fallback.Placer
 	gate      *servergate.Gate
 	running   atomic.Int64
+	// bodies is the memory for buffered request bodies.
+	bodies *bytebudget.Budget
+	// readingMu guards reading, the bodies that are being buffered and the deadlines of their requests.
+	readingMu sync.Mutex
+	reading   map[*body]time.Time
 	// stopAt is when the VM stops, nil while it accepts all requests.
 	stopAt atomic.Pointer[time.Time]
 	// stopping is closed when stopAt has been set.
@@ -47,17 +54,43 @@
 // New returns a gateway; current returns the newest state, placer selects servers while the leader cannot be reached, and gate holds
 // back requests from servers that asked for none.
 func New(c *common.Common, current func() *State, transport Transport, sender Sender, placer *fallback.Placer, gate *servergate.Gate) *Gateway {
-	return &Gateway{common: c, current: current, transport: transport, sender: sender, placer: placer, gate: gate, stopping: make(chan struct{})}
+	return &Gateway{
+		common: c, current: current, transport: transport, sender: sender, placer: placer, gate: gate,
+		bodies: bytebudget.New(maxBufferedRequests), reading: map[*body]time.Time{}, stopping: make(chan struct{}),
+	}
 }
 
 // Running returns the number of requests that are being served.
 func (g *Gateway) Running() int { return int(g.running.Load()) }
 
-// StopAt makes the gateway refuse requests that wait for a backend server, now or later, and whose deadline is after the time at which the VM
-// stops. It must be called once.
+// StopAt makes the gateway refuse requests that wait for their body or for a backend server, now or later, and whose deadline is after the
+// time at which the VM stops. It must be called once.
 func (g *Gateway) StopAt(at time.Time) {
 	g.stopAt.Store(&at)
 	close(g.stopping)
+	g.readingMu.Lock()
+	defer g.readingMu.Unlock()
+	for b, deadline := range g.reading {
+		if at.Before(deadline) {
+			b.interrupt()
+		}
+	}
+}
+
+// stopReadingAt interrupts the reading of a body when the VM stops before the deadline of the request, until the returned function is
+// called.
+func (g *Gateway) stopReadingAt(deadline time.Time, b *body) func() {
+	g.readingMu.Lock()
+	defer g.readingMu.Unlock()
+	g.reading[b] = deadline
+	if g.stopsBefore(deadline) {
+		b.interrupt()
+	}
+	return func() {
+		g.readingMu.Lock()
+		defer g.readingMu.Unlock()
+		delete(g.reading, b)
+	}
 }
 
 func (g *Gateway) stopsBefore(deadline time.Time) bool {
@@ -71,6 +104,9 @@
 	defer g.running.Add(-1)
 	c := newCall(g, w, r)
 	defer c.log()
+	if c.body != nil {
+		defer c.body.close()
+	}
 	c.awaitReady(r.Context())
 	if code := c.prepare(); code != azuretiller.CodeOK {
 		c.refuse(code, defaultRetryAfter)
--- a/pkg/gateway/params.go
+++ b/pkg/gateway/params.go
@@ -41,6 +41,15 @@
 	defaultRetryAfter = 500 * time.Millisecond
 	// defaultMaxBody is the largest request body in bytes if the configuration sets no limit.
 	defaultMaxBody = 8 << 20
+	// maxBufferedRequest is the size in bytes up to which a request body is buffered before it is sent to a backend server.
+	maxBufferedRequest = 1 << 20
+	// maxBufferedRequests is the size in bytes of all request bodies that are buffered at the same time, beyond the first
+	// replay.UnreservedSize of each. It is a sixth of the memory of the smallest VMs.
+	maxBufferedRequests = 32 << 20
+	// unreadBodyTimeout is how long a caller may take to send the rest of a body that is not needed.
+	unreadBodyTimeout = 2 * time.Second
+	// maxUnreadBody is the size in bytes of the rest of a body up to which net/http reads it and keeps the connection.
+	maxUnreadBody = 256 << 10
 	// copyBufferSize is the size in bytes of the buffer through which the rest of a long response is copied.
 	copyBufferSize = 64 << 10
 )
--- a/pkg/gateway/response.go
+++ b/pkg/gateway/response.go
@@ -41,7 +41,7 @@
 	case a.response.ContentLength > 0:
 		h.Set("Content-Length", strconv.FormatInt(a.response.ContentLength, 10))
 	}
-	c.closeIfLeaving()
+	c.closeIfUnusable()
 	if a.response.RemainingBody != nil {
 		// A caller that does not read must not keep an endless body in memory.
 		_ = http.NewResponseController(c.writer).SetWriteDeadline(c.started.Add(c.timeout))
@@ -60,10 +60,10 @@
 	}
 }
 
-// closeIfLeaving closes the caller's connection after the response if this VM is leaving, so that the caller uses another VM for its
-// next request.
-func (c *call) closeIfLeaving() {
-	if c.gateway.current().Leaving {
+// closeIfUnusable closes the caller's connection after the response if this VM is leaving, so that the caller uses another VM for its
+// next request, or if a part of the request body is left on the connection and keepConnection is not set.
+func (c *call) closeIfUnusable() {
+	if c.gateway.current().Leaving || c.body != nil && !c.body.keepConnection && !c.body.data.Ended() {
 		c.writer.Header().Set("Connection", "close")
 	}
 }
@@ -82,7 +82,11 @@
 	if c.id != "" {
 		h.Set(platform.HeaderAttempt, c.id)
 	}
-	c.closeIfLeaving()
+	h.Set("Content-Length", strconv.Itoa(len(info.Name)+1))
+	if c.body != nil {
+		c.body.keepConnection = c.body.isRestSmall()
+	}
+	c.closeIfUnusable()
 	c.writer.WriteHeader(info.Status)
 	_, _ = io.WriteString(c.writer, info.Name+"\n")
 }
@@ -117,6 +121,10 @@
 		c.forward(a)
 	case a.response.Result == message.TimedOut:
 		c.refuse(azuretiller.CodeServerTimeout, 0)
+	case c.body != nil && c.body.isTooLarge():
+		c.refuse(azuretiller.CodeBodyTooLong, 0)
+	case a.response.Result == message.Cancelled:
+		c.refuse(azuretiller.CodeBodyInterrupted, 0)
 	default:
 		c.refuse(azuretiller.CodeServerFailed, 0)
 	}
@@ -155,16 +163,21 @@
 
 // abort ends a request whose deadline passed or whose caller disconnected.
 func (c *call) abort(failed *attempt) {
+	if failed != nil && failed.response.Err != nil {
+		c.reason = failed.response.Err.Error()
+	}
+	if c.isBodyOverdue() {
+		c.refuse(azuretiller.CodeBodyInterrupted, 0)
+		return
+	}
 	if c.request.Context().Err() != nil {
 		c.code = azuretiller.CodeCancelled
 		c.reason = "caller disconnected"
 		if c.gateway.stopsBefore(c.gateway.common.Clock.Now()) {
 			c.reason = "cut because the VM stopped"
 		}
-		return
-	}
-	if failed != nil && failed.response.Err != nil {
-		c.reason = failed.response.Err.Error()
+		// Without a response, net/http would send an empty one with status 200 to a caller that closed only its sending side.
+		panic(http.ErrAbortHandler)
 	}
 	c.refuse(azuretiller.CodeServerTimeout, 0)
 }
--- a/pkg/gateway/stop_test.go
+++ b/pkg/gateway/stop_test.go
@@ -81,7 +81,7 @@
 			ctx, cancel := context.WithCancel(t.Context())
 			cancel()
 			request := &call{gateway: g.Gateway, request: httptest.NewRequestWithContext(ctx, http.MethodGet, "/", nil)}
-			request.abort(nil)
+			assert.PanicsWithValue(t, http.ErrAbortHandler, func() { request.abort(nil) })
 			assert.Equal(t, c.reason, request.reason)
 		})
 	}
--- a/pkg/ingress/forward.go
+++ b/pkg/ingress/forward.go
@@ -31,7 +31,7 @@
 // serve forwards an authorized request. A request that has a request ID and is not idempotent runs at most once.
 func (c *call) serve(ctx context.Context) {
 	c.limitBody()
-	body := replay.New(c.request.Body, maxReplayBytes)
+	body := replay.New(c.request.Body, maxReplayBytes, nil)
 	idempotent := c.route.IsIdempotent(c.request.Method)
 	c.requestID = azuretiller.RequestID(c.request.Header.Get(headers.IdempotencyKey))
 	fingerprint := c.fingerprint(body)
--- a/pkg/poolowner/session.go
+++ b/pkg/poolowner/session.go
@@ -93,7 +93,7 @@
 	}
 	s.request.Headers.Del("Trailer")
 	pipeReader, pipeWriter := io.Pipe()
-	s.body = replay.New(pipeReader, maxReplayBytes)
+	s.body = replay.New(pipeReader, maxReplayBytes, nil)
 	go func() {
 		defer s.cancel(context.Canceled)
 		for {
--- a/pkg/upstream/sender.go
+++ b/pkg/upstream/sender.go
@@ -7,13 +7,14 @@
 	"io"
 	"net"
 	"net/http"
-	"strconv"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/azuretiller/azuretiller"
+	"github.com/azuretiller/azuretiller/pkg/bytebudget"
 	"github.com/azuretiller/azuretiller/pkg/message"
 	"github.com/azuretiller/azuretiller/platform"
 )
@@ -46,7 +47,10 @@
 	Target  string
 	Host    string
 	Headers http.Header
-	Body    []byte
+	// Body is nil if the request has no body. It may be read until the connection is closed.
+	Body io.Reader
+	// BodySize is the size of the body in bytes, or -1 if it is unknown.
+	BodySize int64
 	// ID is the value of the header platform.HeaderAttempt of the caller, which the server returns in its response.
 	ID string
 	// Deadline is the time after which the caller no longer waits for the response.
@@ -75,13 +79,13 @@
 // a later request.
 type Sender struct {
 	dial   func(ctx context.Context, network, address string) (net.Conn, error)
-	bodies *bodyBudget
+	bodies *bytebudget.Budget
 }
 
 // New returns a sender.
 func New() *Sender {
 	dialer := &net.Dialer{Timeout: connectTimeout, KeepAlive: -1}
-	return &Sender{dial: dialer.DialContext, bodies: newBodyBudget(maxBufferedBodies)}
+	return &Sender{dial: dialer.DialContext, bodies: bytebudget.New(maxBufferedBodies)}
 }
 
 // Send sends an attempt and returns its response; it returns early when the context ends. The body of the response counts towards
@@ -117,14 +121,24 @@
 
 // exchange sends the request on the connection and reads the response.
 func (s *Sender) exchange(ctx context.Context, conn net.Conn, a Attempt) (response Response) {
+	var bodyInterrupted atomic.Bool
 	// A server may respond before it has read all of a long body, so the request is written while the response is read.
-	go func() { _ = writeRequest(conn, a) }()
+	go func() {
+		if err := writeRequest(conn, a); errors.Is(err, errBodyInterrupted) {
+			// The server notices that the body is incomplete.
+			bodyInterrupted.Store(true)
+			_ = conn.Close()
+		}
+	}()
 	head := &headReader{reader: conn, left: maxHeadBytes}
 	httpResponse, err := readResponse(bufio.NewReaderSize(head, readBufferSize), a)
 	if err != nil {
 		if ctx.Err() != nil {
 			return Response{Result: contextResult(ctx), Err: err}
 		}
+		if bodyInterrupted.Load() {
+			return Response{Result: message.Cancelled, Err: errBodyInterrupted}
+		}
 		if !head.ended {
 			return Response{Result: message.Failed, Err: err}
 		}
@@ -156,6 +170,8 @@
 	switch {
 	case err != nil && ctx.Err() != nil:
 		return Response{Result: contextResult(ctx), Err: err}
+	case err != nil && bodyInterrupted.Load():
+		return Response{Result: message.Cancelled, Err: errBodyInterrupted}
 	case err != nil:
 		return Response{Result: message.Failed, Err: errors.Wrap(err, "read response body")}
 	case !complete:
@@ -175,10 +191,10 @@
 	if r.ContentLength >= 0 {
 		size = min(size, r.ContentLength-unreservedBody)
 	}
-	if !s.bodies.take(size) {
+	if !s.bodies.Take(size) {
 		return data, false, nil
 	}
-	context.AfterFunc(ctx, func() { s.bodies.put(size) })
+	context.AfterFunc(ctx, func() { s.bodies.Put(size) })
 	// The additional byte tells a complete body from a longer one. The buffer gets its full size at once, since growing it would
 	// allocate more than was reserved.
 	buffer := bytes.NewBuffer(data)
@@ -200,27 +216,6 @@
 	return errors.Wrap(err, "close connection to backend server")
 }
 
-func writeRequest(conn net.Conn, a Attempt) error {
-	var head bytes.Buffer
-	head.WriteString(a.Method + " " + a.Target + " HTTP/1.1\r\nHost: " + a.Host + "\r\n")
-	h := a.Headers.Clone()
-	h.Set("Connection", "close")
-	h.Set(platform.HeaderInstance, string(a.Server))
-	h.Set(platform.HeaderDeadline, strconv.FormatInt(max(time.Until(a.Deadline).Milliseconds(), 1), 10))
-	if len(a.Body) > 0 || a.Method == http.MethodPost || a.Method == http.MethodPut || a.Method == http.MethodPatch {
-		h.Set("Content-Length", strconv.Itoa(len(a.Body)))
-	} else {
-		h.Del("Content-Length")
-	}
-	if err := h.Write(&head); err != nil {
-		return errors.Wrap(err, "write request headers")
-	}
-	head.WriteString("\r\n")
-	head.Write(a.Body)
-	_, err := conn.Write(head.Bytes())
-	return errors.Wrap(err, "write request")
-}
-
 // readResponse returns the first response that is not informational.
 func readResponse(reader *bufio.Reader, a Attempt) (*http.Response, error) {
 	for range maxInformational {
--- a/pkg/upstream/sender_test.go
+++ b/pkg/upstream/sender_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -14,6 +15,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/azuretiller/azuretiller/pkg/bytebudget"
 	"github.com/azuretiller/azuretiller/pkg/message"
 	"github.com/azuretiller/azuretiller/platform"
 )
@@ -136,7 +138,7 @@
 			sender.dial = (&server{start: c.response}).dial
 			a := newAttempt()
 			a.ID = c.sentID
-			a.Method, a.Body = http.MethodPost, make([]byte, c.body)
+			a.Method, a.Body, a.BodySize = http.MethodPost, bytes.NewReader(make([]byte, c.body)), int64(c.body)
 			response := sender.Send(t.Context(), a)
 			assert.Equal(t, c.result, response.Result)
 			require.Error(t, response.Err)
@@ -220,7 +222,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		const buffered = 3
 		sender := New()
-		sender.bodies = newBodyBudget(buffered * maxBufferedBody)
+		sender.bodies = bytebudget.New(buffered * maxBufferedBody)
 		requests, endRequests := context.WithCancel(t.Context())
 		body := strings.Repeat("x", maxBufferedBody)
 		sendOne := func(ctx context.Context) Response {
