Use no servers of an old view when a VM that was cut off becomes leader

Ruled out: the former leader (it had closed the server), and a late read (the first ticket precedes it).

Change: a view that is older than 1.2 s is not used; requests are queued at the leader until the first read, for at most 0.3 s.

--- a/pkg/edge/control.go
+++ b/pkg/edge/control.go
@@ -286,13 +286,20 @@
 }
 
 func (e *Edge) becomeLeader(term azuretiller.Term) {
-	e.leader = leader.New(e.common.Clock.Now(), e.params(), e.check, term, e.self.ID, e.self.PeerAddress, e.member.Peers())
+	now := e.common.Clock.Now()
+	e.leader = leader.New(now, e.params(), e.check, term, e.self.ID, e.self.PeerAddress, e.member.Peers())
 	e.leader.SetConfig(e.config)
-	// What this VM read before this term may be outdated, so the servers of the view are used until the first read of the term.
+	// What this VM read before this term may be outdated, so the servers of the view are used until the first read of the term. If this
+	// VM was cut off from the former leader, the view may be outdated as well, and requests wait for the read.
 	e.reads.lastServersRead, e.reads.lastSettingsRead = time.Time{}, time.Time{}
-	view := e.member.View()
-	e.reads.inheritedServers = formerServers(view).InUse
-	e.runLeader(e.leader.SetServers(e.common.Clock.Now(), serversByService(view)))
+	if e.member.ViewAge(now) > maxInheritedViewAge {
+		e.reads.inheritedServers = nil
+		e.leader.AwaitServers(now.Add(firstReadTimeout))
+	} else {
+		view := e.member.View()
+		e.reads.inheritedServers = formerServers(view).InUse
+		e.runLeader(e.leader.SetServers(now, serversByService(view)))
+	}
 	e.reads.nextSettingsRead, e.reads.nextServersRead = time.Time{}, time.Time{}
 	e.logEvent("leading", log.Fields{"term": term, "version": e.revision()})
 }
--- a/pkg/edge/reads.go
+++ b/pkg/edge/reads.go
@@ -35,6 +35,11 @@
 	// storeTimeout is the time without a successful read after which the leader asks for a successor that can read the store. The store
 	// answers in milliseconds, and a configuration must be in force within 2 s.
 	storeTimeout = 500 * time.Millisecond
+	// maxInheritedViewAge is the time without contact with the former leader up to which a new leader uses the servers of the view. A lost
+	// leader is replaced sooner, and backend servers that leave must get no requests after 2 s.
+	maxInheritedViewAge = 1200 * time.Millisecond
+	// firstReadTimeout is how long requests wait for the first read of a new leader from the store, which answers in milliseconds.
+	firstReadTimeout = 300 * time.Millisecond
 	// isolatedAfter is the time without contact with the leader after which the view of the fleet is too old to be given to callers.
 	isolatedAfter = 2 * time.Second
 	// maxOwnServersAge is the age up to which servers that this VM read itself are used instead of those in the view.
--- a/pkg/leader/leader.go
+++ b/pkg/leader/leader.go
@@ -50,6 +50,8 @@
 	recentResponses map[scheduler.Key]*cachedResponse
 	runningAttempts map[message.TicketID]runningAttempt
 
+	// serversAwaitedUntil is until when requests wait for the first call of SetServers.
+	serversAwaitedUntil time.Time
 	// registered are the servers that SetServers received last.
 	registered map[azuretiller.ServiceID][]scheduler.Server
 	// leaving are the servers that told a VM that they are about to stop.
@@ -147,8 +149,12 @@
 // SetConfig replaces the configuration, which holds the rates of the teams.
 func (l *Leader) SetConfig(c *config.Config) { l.config = c }
 
+// AwaitServers lets requests wait until SetServers is called, at most until the given time.
+func (l *Leader) AwaitServers(until time.Time) { l.serversAwaitedUntil = until }
+
 // SetServers replaces the backend servers of all services.
 func (l *Leader) SetServers(now time.Time, services map[azuretiller.ServiceID][]scheduler.Server) []Effect {
+	l.serversAwaitedUntil = time.Time{}
 	l.registered = services
 	return l.applyServers(now)
 }
--- a/pkg/leader/requests.go
+++ b/pkg/leader/requests.go
@@ -38,6 +38,10 @@
 			Send{To: from, Message: message.Envelope{Call: call, Body: response}},
 			LogLine{"refused", fields})
 	}
+	if now.Before(l.serversAwaitedUntil) {
+		// The VM sends the request again.
+		return append(effects, Send{To: from, Message: message.Envelope{Call: call, Body: message.PlaceResponse{Queued: true, Term: l.term}}})
+	}
 	if admitted, wait := l.crashes.Admit(fingerprint(request.Fingerprint), now); !admitted {
 		return refuse(azuretiller.CodeHeldBack, wait)
 	}
--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -30,9 +30,11 @@
 	// leaderAnsweredAt is when the leader last answered a heartbeat. Until answerDeadline, the leader of a new term does not count
 	// as lost.
 	leaderAnsweredAt time.Time
-	answerDeadline   time.Time
-	heartbeatSentAt  time.Time
-	view             message.View
+	// viewConfirmedAt is when a leader other than this VM last answered a heartbeat, or its view last arrived.
+	viewConfirmedAt time.Time
+	answerDeadline  time.Time
+	heartbeatSentAt time.Time
+	view            message.View
 	// peers maps the host:port of each VM that a view contained to the time at which the view last contained it. It keeps VMs that
 	// the newest view lacks, since the first views of a term contain few VMs.
 	peers map[string]time.Time
@@ -104,6 +106,9 @@
 // View returns the newest view of the fleet.
 func (m *Member) View() message.View { return m.view }
 
+// ViewAge returns the time since the leader that sent the view was last heard from.
+func (m *Member) ViewAge(now time.Time) time.Duration { return now.Sub(m.viewConfirmedAt) }
+
 // LeaderReachable reports whether this VM leads, or the leader answered a heartbeat within leaderTimeout.
 func (m *Member) LeaderReachable(now time.Time) bool {
 	return m.leading || m.term > 0 && !m.leaderAnsweredAt.IsZero() && now.Sub(m.leaderAnsweredAt) < leaderTimeout
--- a/pkg/member/receive.go
+++ b/pkg/member/receive.go
@@ -74,7 +74,7 @@
 	if response.Term < m.term || !response.IsLeader || from != m.leaderAddress {
 		return effects
 	}
-	m.leaderAnsweredAt = now
+	m.leaderAnsweredAt, m.viewConfirmedAt = now, now
 	if response.StaticFieldsKnown != m.knownToLeader {
 		m.knownToLeader = response.StaticFieldsKnown
 		if !m.knownToLeader {
--- a/pkg/member/view.go
+++ b/pkg/member/view.go
@@ -64,6 +64,7 @@
 	if full.Relay {
 		effects = m.relayView(full)
 	}
+	m.viewConfirmedAt = now
 	switch {
 	case full.Base == 0:
 		m.view = message.View{}.Apply(full)
