--- a/cmd/standin/pkg/backendserver/server.go
+++ b/cmd/standin/pkg/backendserver/server.go
@@ -55,6 +55,9 @@
 	LastFault = ForeignError
 )
 
+// HeaderRejectEarly is the header of requests that the server rejects with status 413 before it has read their body.
+const HeaderRejectEarly = "Standin-Reject-Early"
+
 const (
 	// endlessPart is the size in bytes of one write of an endless response.
 	endlessPart = 1 << 10
@@ -194,11 +197,15 @@
 	if err != nil {
 		return
 	}
+	attempt := request.Header.Get(platform.HeaderAttempt)
+	if request.Header.Get(HeaderRejectEarly) != "" {
+		_, _ = io.WriteString(conn, signedHead(http.StatusRequestEntityTooLarge, attempt)+"Content-Length: 0\r\n\r\n")
+		return
+	}
 	body, err := io.ReadAll(request.Body)
 	if err != nil {
 		return
 	}
-	attempt := request.Header.Get(platform.HeaderAttempt)
 	if instance := request.Header.Get(platform.HeaderInstance); instance != s.id {
 		_, _ = io.WriteString(conn, formatRefusal(http.StatusMisdirectedRequest, attempt))
 		return
--- a/cmd/standin/pkg/soak/recorder.go
+++ b/cmd/standin/pkg/soak/recorder.go
@@ -25,6 +25,8 @@
 	limitedKey  = "key-limited"
 	readsPath   = "/reads/"
 	ordersPath  = "/orders/"
+	// maxBodyPrinted is how much of a body a violation shows, in bytes.
+	maxBodyPrinted = 100
 	// bodyPrefix is followed by the ID of the backend server in the body of its response.
 	bodyPrefix = "made by "
 )
@@ -41,6 +43,8 @@
 	sentAt, endedAt time.Time
 	// callerLeft means that the caller gave up before the request ended.
 	callerLeft bool
+	// uploadSize is the size in bytes of the body of an upload, and 0 for other requests.
+	uploadSize int
 	// leaving is the ID of the backend server that said in its response that it leaves.
 	leaving string
 }
@@ -187,10 +191,14 @@
 				}
 			}
 			body := ""
-			if o.order {
+			switch {
+			case o.uploadSize > 0:
+				body = uploadBody(r.Attempt, o.uploadSize)
+			case o.order:
 				body = "body of " + r.Attempt
 			}
 			if !sent || r.Team != team || r.Key != "" || r.Body != body || r.Host != host || !strings.HasSuffix(r.Target, "/"+r.Attempt) {
+				r.Body = r.Body[:min(len(r.Body), maxBodyPrinted)]
 				violations = append(violations, fmt.Sprintf("a backend server ran a request that no caller sent: %+v", r))
 			}
 		}
--- a/cmd/standin/pkg/soak/soak.go
+++ b/cmd/standin/pkg/soak/soak.go
@@ -93,6 +93,9 @@
 	for i := range p.Callers {
 		callers.Go(func() { s.runCaller(callerCtx, i) })
 	}
+	for i := range uploaders {
+		callers.Go(func() { s.runUploads(callerCtx, i) })
+	}
 	var notices sync.WaitGroup
 	notices.Go(func() { s.injectNotices(ctx) })
 	s.injectFaults(ctx)
