--- a/pkg/edge/control.go
+++ b/pkg/edge/control.go
@@ -21,7 +21,7 @@
 	// crossZoneCost is the placement cost of sending a request to another zone, as a fraction of the value of a successful answer.
 	// Traffic between zones is billed by the byte.
 	crossZoneCost = 0.03
-	// crossZoneCostPerKiB is the additional cost for each 1,024 bytes of the answer, as a fraction of the same value.
+	// crossZoneCostPerKiB is the additional cost for each 1,024 bytes of the bodies of request and answer, as a fraction of the same value.
 	crossZoneCostPerKiB = 0.0035
 )
 
--- a/pkg/message/message.go
+++ b/pkg/message/message.go
@@ -112,7 +112,7 @@
 	Ticket TicketID
 	Result Result
 	Took   time.Duration
-	// Bytes is the size of the response body.
+	// Bytes is the size of the bodies of the request and the response.
 	Bytes int
 	// Server is set only for attempts without a ticket, and if the server asked for no requests.
 	Server azuretiller.InstanceID
--- a/pkg/scheduler/choose.go
+++ b/pkg/scheduler/choose.go
@@ -54,7 +54,7 @@
 	score := -failureRisk - inFlightRiskWeight*float64(s.busy)*failureRisk
 	score -= loadPenalty * float64(s.busy) / float64(max(s.Slots, 1))
 	if s.Zone != w.Zone {
-		score -= sc.params.CrossZoneCost + sc.params.CrossZoneCostPerKiB*sc.meanAnswerSize[w.Route]/1024
+		score -= sc.params.CrossZoneCost + sc.params.CrossZoneCostPerKiB*sc.meanSize[w.Route]/1024
 	}
 	if now.Before(s.ColdUntil) {
 		score -= coldPenalty
--- a/pkg/scheduler/params.go
+++ b/pkg/scheduler/params.go
@@ -9,7 +9,7 @@
 	// RetrySlack is the number of retries that the deployment tolerates in addition to RetryRatio.
 	RetrySlack float64
 	// CrossZoneCost is the cost of sending a request to another availability zone, as a fraction of the value of a successful
-	// answer. CrossZoneCostPerKiB is the additional cost of each 1,024 bytes of the answer.
+	// answer. CrossZoneCostPerKiB is the additional cost of each 1,024 bytes of the bodies of request and answer.
 	CrossZoneCost       float64
 	CrossZoneCostPerKiB float64
 }
@@ -49,9 +49,9 @@
 	// minRetryBudget is the remaining fraction of the retry budget below which retryableDiscount does not apply.
 	minRetryBudget = 0.3
 
-	// averageWeight is the weight of the newest answer in the moving averages of service time and answer size.
+	// averageWeight is the weight of the newest answer in the moving averages of service time and body size.
 	averageWeight = 0.05
-	// minSizeRatio is the smallest ratio of the average answer size to the newest one. Below it the newest size replaces the
+	// minSizeRatio is the smallest ratio of the average body size to the newest one. Below it the newest size replaces the
 	// average, which starts at zero.
 	minSizeRatio = 0.1
 	// overdueFactor is the multiple of the average service time after which a running attempt counts as overdue, which is
--- a/pkg/scheduler/request.go
+++ b/pkg/scheduler/request.go
@@ -16,7 +16,7 @@
 	// Zone is the availability zone of the VM that submitted the attempt.
 	Zone azuretiller.Zone
 	Team azuretiller.TeamID
-	// Route selects the average service time and answer size that the scheduler learned from earlier answers.
+	// Route selects the average service time and body size that the scheduler learned from earlier answers.
 	Route azuretiller.RouteID
 	// Priority is 0 for the most urgent requests and larger for others.
 	Priority   int
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -26,10 +26,10 @@
 	running map[message.TicketID]*attempt
 	// serviceTimes are the moving averages of the service time of each route.
 	serviceTimes map[azuretiller.RouteID]time.Duration
-	// meanAnswerSize is the moving average of the answer size of each route, in bytes.
-	meanAnswerSize map[azuretiller.RouteID]float64
-	retryBudget    *retrybudget.Budget
-	outcomes       outcomeWindow
+	// meanSize is the moving average of the size of the bodies of request and answer of each route, in bytes.
+	meanSize    map[azuretiller.RouteID]float64
+	retryBudget *retrybudget.Budget
+	outcomes    outcomeWindow
 	// idempotentStarts are the recent starts of idempotent requests.
 	idempotentStarts eventWindow
 }
@@ -79,7 +79,7 @@
 		acceptanceModel: health.NewModel(),
 		running:         map[message.TicketID]*attempt{},
 		serviceTimes:    map[azuretiller.RouteID]time.Duration{},
-		meanAnswerSize:  map[azuretiller.RouteID]float64{},
+		meanSize:        map[azuretiller.RouteID]float64{},
 		retryBudget:     retrybudget.New(retryShare*p.RetryRatio, retryCapacity*p.RetrySlack, initialRetries*p.RetrySlack),
 	}
 }
@@ -214,9 +214,9 @@
 	a.server.busy--
 	sc.recordResult(now, a, result, took)
 	if result == message.Succeeded {
-		sc.meanAnswerSize[a.Route] += averageWeight * (float64(bytes) - sc.meanAnswerSize[a.Route])
-		if sc.meanAnswerSize[a.Route] < minSizeRatio*float64(bytes) {
-			sc.meanAnswerSize[a.Route] = float64(bytes)
+		sc.meanSize[a.Route] += averageWeight * (float64(bytes) - sc.meanSize[a.Route])
+		if sc.meanSize[a.Route] < minSizeRatio*float64(bytes) {
+			sc.meanSize[a.Route] = float64(bytes)
 		}
 	}
 	return sc.assignQueued(now), true
