--- a/cmd/standin/pkg/soak/uploads.go
+++ b/cmd/standin/pkg/soak/uploads.go
@@ -36,8 +36,8 @@
 	return strings.Repeat(attempt+" ", size/(len(attempt)+1)+1)[:size]
 }
 
-// runUploads sends the uploads of one caller until the context ends: with and without a declared size, slowly, cut short, or to a server that responds before
-// it has read them.
+// runUploads sends the uploads of one caller until the context ends: with and without a declared size, slowly, cut short, or to a
+// server that responds before it has read them.
 func (s *Soak) runUploads(ctx context.Context, caller int) {
 	random := rand.New(rand.NewPCG(s.params.Seed, uint64(1000+caller)))
 	for ctx.Err() == nil {
