--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -26,8 +26,8 @@
 
 	mu   sync.Mutex
 	runs []run
-	// silent means that the worker no longer writes to the store.
-	silent bool
+	// leaving means that the worker no longer writes to the store, and says in all its answers that it leaves.
+	leaving bool
 }
 
 // run is a request on which a worker began to work.
@@ -54,11 +54,11 @@
 	}
 }
 
-// heartbeat writes the worker's entry until it falls silent.
+// heartbeat writes the worker's entry until it leaves.
 func (w *worker) heartbeat(s *store) {
 	for {
 		w.mu.Lock()
-		if w.silent {
+		if w.leaving {
 			w.mu.Unlock()
 			return
 		}
@@ -72,10 +72,16 @@
 func (w *worker) leave(s *store) time.Time {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.silent = true
+	w.leaving = true
 	return s.put("keyed.servers", w.id, nil)
 }
 
+func (w *worker) isLeaving() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.leaving
+}
+
 // exit ends the worker and its connections.
 func (w *worker) exit() {
 	w.rec.note("worker %s exits", w.id)
@@ -92,6 +98,9 @@
 func (w *worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("X-Request-Attempt-Id")
 	rw.Header().Set("X-Request-Attempt-Id", id)
+	if w.isLeaving() {
+		rw.Header().Set("Server-Leaving", "1")
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
@@ -127,6 +136,9 @@
 		w.rec.note("worker %s: the connection of %s closed while it was at work", w.id, id)
 		return
 	}
+	if w.isLeaving() {
+		rw.Header().Set("Server-Leaving", "1")
+	}
 	answer := "done by " + w.id
 	rw.Header().Set("X-Response-Signature", "sig-"+id)
 	rw.Header().Set("Content-Length", strconv.Itoa(len(answer)))
