End the leadership of a VM that learns of its successor from a vote

A leader that got a vote naming a newer term followed it, but kept its leader object: it answered requests for servers, and heartbeats of newer terms did not reach its membership.

Change: the vote leads to StepDown, as a newer heartbeat response does. TestVoteForNewerTermEndsLeadership failed before.

--- a/pkg/member/election_test.go
+++ b/pkg/member/election_test.go
@@ -171,3 +171,13 @@
 	f.schedule.Run(20 * time.Millisecond)
 	assert.Equal(t, 35, f.activeLeaders()[0].leader.MemberCount())
 }
+
+// TestVoteForNewerTermEndsLeadership guards against a leader that goes on to decide after it has learned of its successor from a vote.
+func TestVoteForNewerTermEndsLeadership(t *testing.T) {
+	f := newFleet(t, 3, 1)
+	f.schedule.Run(time.Second)
+	first := f.activeLeaders()[0]
+	vote := message.Vote{Term: first.member.Term() + 1, Leader: "vm-9", LeaderAddress: "10.0.0.9:7000"}
+	f.apply(first, first.member.Receive(f.schedule.Now(), "10.0.0.9:7000", 0, vote))
+	assert.Nil(t, first.leader)
+}
--- a/pkg/member/receive.go
+++ b/pkg/member/receive.go
@@ -103,8 +103,12 @@
 
 func (m *Member) receiveVote(now time.Time, from string, vote message.Vote) []Effect {
 	if vote.Term > m.term && vote.LeaderAddress != "" && vote.LeaderAddress != m.self.PeerAddress {
+		var effects []Effect
+		if m.leading {
+			effects = append(effects, StepDown{Newer: vote.Term})
+		}
 		m.follow(now, vote.Term, vote.Leader, vote.LeaderAddress)
-		return m.sendHeartbeat(now)
+		return append(effects, m.sendHeartbeat(now)...)
 	}
 	if m.state == polling && vote.Term == m.term {
 		m.votes[from] = vote
