Limit the lines of the heads of responses, and the memory of all large heads

Report of another operator: a server that sends a head without end fills the memory of the VM that reads it. Here heads were limited to 64 KiB, but not what they become: a head of that size with 16,000 short lines takes 1.0 MB once parsed, so that 200 such responses at once need 203 MB; the smallest VMs have 184 MB, and all their requests end with the process.

Change: a head has 256 lines at most, and heads beyond 16 KiB share 8 MiB until their requests end. A head beyond a limit fails the attempt as before: 502 to that caller, or another server for idempotent requests, and the server is doubted.

TestHeadsOfManyResponsesStayWithinMemory failed before with 1,016,762 bytes for each attempt (131,072 allowed).

--- a/pkg/upstream/sender.go
+++ b/pkg/upstream/sender.go
@@ -33,6 +33,13 @@
 	readBufferSize = 16 << 10
 	// maxHeadBytes is the size in bytes of the largest accepted head of a response, including the informational responses before it.
 	maxHeadBytes = 64 << 10
+	// maxHeadLines is the number of lines of the longest accepted head. A parsed line takes up to a hundred bytes in addition to its text.
+	maxHeadLines = 256
+	// unreservedHead is the size in bytes up to which a head is read even if maxHeads is reached. It includes the start of the body that
+	// arrives with the head.
+	unreservedHead = 16 << 10
+	// maxHeads is the size in bytes of all larger heads that are kept at the same time.
+	maxHeads = 8 << 20
 	// maxInformational is the number of consecutive informational (1xx) responses after which the attempt fails.
 	maxInformational = 5
 )
@@ -78,17 +85,17 @@
 // Sender sends attempts to backend servers. It opens a new connection for each attempt, so that a late response is never matched to
 // a later request.
 type Sender struct {
-	dial   func(ctx context.Context, network, address string) (net.Conn, error)
-	bodies *bytebudget.Budget
+	dial          func(ctx context.Context, network, address string) (net.Conn, error)
+	heads, bodies *bytebudget.Budget
 }
 
 // New returns a sender.
 func New() *Sender {
 	dialer := &net.Dialer{Timeout: connectTimeout, KeepAlive: -1}
-	return &Sender{dial: dialer.DialContext, bodies: bytebudget.New(maxBufferedBodies)}
+	return &Sender{dial: dialer.DialContext, heads: bytebudget.New(maxHeads), bodies: bytebudget.New(maxBufferedBodies)}
 }
 
-// Send sends an attempt and returns its response; it returns early when the context ends. The body of the response counts towards
+// Send sends an attempt and returns its response; it returns early when the context ends. The response counts towards maxHeads and
 // maxBufferedBodies until the context ends.
 func (s *Sender) Send(ctx context.Context, a Attempt) Response {
 	conn, err := s.dial(ctx, "tcp", a.Address)
@@ -130,7 +137,7 @@
 			_ = conn.Close()
 		}
 	}()
-	head := &headReader{reader: conn, left: maxHeadBytes}
+	head := &headReader{reader: conn, reserve: func() bool { return reserveUntilEnd(ctx, s.heads, maxHeadBytes) }}
 	httpResponse, err := readResponse(bufio.NewReaderSize(head, readBufferSize), a)
 	if err != nil {
 		if ctx.Err() != nil {
@@ -191,10 +198,9 @@
 	if r.ContentLength >= 0 {
 		size = min(size, r.ContentLength-unreservedBody)
 	}
-	if !s.bodies.Take(size) {
+	if !reserveUntilEnd(ctx, s.bodies, size) {
 		return data, false, nil
 	}
-	context.AfterFunc(ctx, func() { s.bodies.Put(size) })
 	// The additional byte tells a complete body from a longer one. The buffer gets its full size at once, since growing it would
 	// allocate more than was reserved.
 	buffer := bytes.NewBuffer(data)
@@ -203,6 +209,15 @@
 	return buffer.Bytes(), n <= size, err
 }
 
+// reserveUntilEnd takes n bytes of a budget until the context ends, and reports whether they were left.
+func reserveUntilEnd(ctx context.Context, budget *bytebudget.Budget, n int64) bool {
+	if !budget.Take(n) {
+		return false
+	}
+	context.AfterFunc(ctx, func() { budget.Put(n) })
+	return true
+}
+
 // remainingBody is the part of a body that has not been read yet, with its connection.
 type remainingBody struct {
 	io.ReadCloser
