Report responses that break off or do not end while they are sent to the caller

A server whose body broke off after the first megabyte, or did not end, counted as healthy, and its slot stayed occupied until 3 s after the deadline of the request: the connection to the caller was aborted by a panic before the result was reported to the leader.

Change: the result is reported before the abort. It is Failed if the server broke off, TimedOut if the body did not end in time, and Cancelled, which says nothing about the server, if the caller left or took more than half of the time to read.

TestStreamedResponseThatFailsIsReported failed before: no report in any of its cases.

--- a/pkg/fallback/placer.go
+++ b/pkg/fallback/placer.go
@@ -173,6 +173,13 @@
 	}
 }
 
+// Eject avoids a server for a while, since its response broke off after the end of the attempt.
+func (p *Placer) Eject(now time.Time, server azuretiller.InstanceID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.failedAt[server] = now
+}
+
 // Release ends an attempt for which Place chose a server, and whose result says nothing about the server.
 func (p *Placer) Release(server azuretiller.InstanceID) {
 	p.mu.Lock()
--- a/pkg/gateway/response.go
+++ b/pkg/gateway/response.go
@@ -17,12 +17,29 @@
 // deliver sends a successful response to the caller and reports the result to the leader.
 func (c *call) deliver(a attempt) {
 	c.code = azuretiller.CodeOK
-	c.forward(a)
+	started := c.gateway.common.Clock.Now()
+	if result := c.forward(a); result != message.Succeeded {
+		a.elapsed += c.gateway.common.Clock.Now().Sub(started)
+		c.abortResponse(a, result)
+	}
+	c.reportResult(a)
+}
+
+// abortResponse ends the connection to the caller in the middle of a response, so that the caller notices that it is truncated, and reports the
+// result to the leader.
+func (c *call) abortResponse(a attempt, result message.Result) {
+	c.code = azuretiller.CodeTruncated
+	a.response.Result = result
+	if a.placement.Ticket == 0 && result != message.Cancelled {
+		c.gateway.placer.Eject(c.gateway.common.Clock.Now(), a.placement.Server)
+	}
 	c.reportResult(a)
+	panic(http.ErrAbortHandler)
 }
 
-// forward writes the response of a backend server to the caller, without the hop-by-hop headers.
-func (c *call) forward(a attempt) {
+// forward writes the response of a backend server to the caller, without the hop-by-hop headers. It returns Succeeded, or the result of the
+// attempt if the response broke off.
+func (c *call) forward(a attempt) message.Result {
 	c.status = a.response.Status
 	c.server = a.placement.Server
 	c.service = a.placement.Service
@@ -49,15 +66,15 @@
 	c.writer.WriteHeader(a.response.Status)
 	_, _ = c.writer.Write(a.response.Body)
 	if a.response.RemainingBody == nil {
-		return
+		return message.Succeeded
 	}
 	defer func() { _ = a.response.RemainingBody.Close() }()
-	if _, err := io.CopyBuffer(c.writer, a.response.RemainingBody, make([]byte, copyBufferSize)); err != nil {
+	s := bodyStream{clock: c.gateway.common.Clock, caller: c.writer, server: a.response.RemainingBody}
+	if err := s.copy(c.request.Context(), c.started.Add(c.timeout)); err != nil {
 		c.reason = "response body interrupted: " + err.Error()
-		c.code = azuretiller.CodeTruncated
-		// Aborting the connection shows the caller that the response is truncated.
-		panic(http.ErrAbortHandler)
+		return s.result
 	}
+	return message.Succeeded
 }
 
 // closeIfUnusable closes the caller's connection after the response if this VM is leaving, so that the caller uses another VM for its
@@ -118,7 +135,10 @@
 		c.refuse(azuretiller.CodeShedByServer, c.retryAfter(ctx, a.placement.Service, defaultRetryAfter))
 	case a.response.Status >= http.StatusInternalServerError && a.response.Signed() && !platform.PromisesNotRun(a.response.Status):
 		c.code = azuretiller.CodeServerFailed
-		c.forward(a)
+		if c.forward(a) != message.Succeeded {
+			// The result of the attempt has been reported as a failure.
+			panic(http.ErrAbortHandler)
+		}
 	case a.response.Result == message.TimedOut:
 		c.refuse(azuretiller.CodeServerTimeout, 0)
 	case c.body != nil && c.body.isTooLarge():
