Start no second attempt of a request that waits for its first server

Cause: the leader takes a token for the first attempt only. An idempotent request that still waits for its first server after 0.6 of its target latency was also sent as a hedge, as attempt 2, which needs no token. It waits that long if its VM has no leader and no share, or if a new leader has no tokens yet. Evidence: in the window, the requests beyond the rate have two attempts and were placed 0.48 s after they were sent; the target latency is 0.8 s.

Change: the hedge waits until an attempt has been placed. TestNoHedgeBeforeFirstPlacement failed before.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -62,7 +62,7 @@
 	}
 	launch(nil, false)
 	pending := 1
-	hedge := c.hedgeTimer()
+	hedge := time.NewTimer(c.hedgeDelay())
 	defer hedge.Stop()
 	var failed *attempt
 	for {
@@ -100,6 +100,11 @@
 				return
 			}
 		case <-hedge.C:
+			if !c.placed.Load() {
+				// The request has no token of its team yet, and the leader takes none for a second attempt.
+				hedge.Reset(c.hedgeDelay())
+				continue
+			}
 			if c.route.IsIdempotent("") && c.isBuffered() && c.hasAttemptsLeft() && pending == 1 && len(backends) == 1 && !c.withoutLeader {
 				pending++
 				launch(nil, true)
@@ -111,8 +116,9 @@
 	}
 }
 
-func (c *call) hedgeTimer() *time.Timer {
-	return time.NewTimer(time.Duration(float64(c.route.TargetLatency) * hedgeDelayShare))
+// hedgeDelay returns the time after which an idempotent request is also sent to a second server.
+func (c *call) hedgeDelay() time.Duration {
+	return max(time.Duration(float64(c.route.TargetLatency)*hedgeDelayShare), minHedgeDelay)
 }
 
 // mostRelevantFailure returns the failure to report to the caller. A failure after which the request may have run takes precedence over
@@ -149,6 +155,7 @@
 	if a.placement.Code != azuretiller.CodeOK || a.placement.Server == "" {
 		return a
 	}
+	c.placed.Store(true)
 	started, waited := c.gateway.common.Clock.Now(), c.callerWait()
 	a.response = c.send(ctx, a.placement)
 	a.elapsed = c.gateway.common.Clock.Now().Sub(started) - (c.callerWait() - waited)
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -40,6 +41,8 @@
 	attempts int
 	// possiblySent counts the attempts that may have reached a server; the route limits them.
 	possiblySent int
+	// placed is set when an attempt got a server, and with it the token of the request.
+	placed atomic.Bool
 	// withheld counts the attempts that were not sent since the server had asked this VM for no requests.
 	withheld int
 	// allPaused means that every server that could run the request is leaving or asked this VM for a pause.
--- a/pkg/gateway/params.go
+++ b/pkg/gateway/params.go
@@ -36,6 +36,8 @@
 	minRetryTime = 60 * time.Millisecond
 	// hedgeDelayShare is the share of the target latency after which an idempotent request is also sent to a second server.
 	hedgeDelayShare = 0.6
+	// minHedgeDelay is the shortest such time, for routes without a target latency.
+	minHedgeDelay = 10 * time.Millisecond
 	// defaultRetryAfter is the Retry-After time of refusals for which the leader gave none: of requests to a VM without a configuration, and
 	// of requests that the backend server proved not to have run.
 	defaultRetryAfter = 500 * time.Millisecond
