Draw more responses without an end in the soak, and bound the tolerance that VMs use

The part of the tolerance for exceeding the rates that each VM may use while no leader answers was rounded at random, so that its sum was only expected to stay within its part. Leaders use 0.17 of the tolerance instead of 0.2, so that all parts add up to 0.91 of it at most.

--- a/cmd/standin/pkg/backendserver/server.go
+++ b/cmd/standin/pkg/backendserver/server.go
@@ -51,22 +51,13 @@
 	// ForeignError sends a response with status 500 and the attempt ID of another request.
 	ForeignError
 
-	// LastFault is the fault with the highest number.
+	// LastFault is the fault with the highest number of those before the faults in EndlessFaults.
 	LastFault = ForeignError
 )
 
 // HeaderRejectEarly is the header of requests that the server rejects with status 413 before it has read their body.
 const HeaderRejectEarly = "Standin-Reject-Early"
 
-const (
-	// endlessPart is the size in bytes of one write of an endless response.
-	endlessPart = 1 << 10
-	// endlessBodyStart is the size in bytes of the first write of an endless body; it is more than a VM buffers.
-	endlessBodyStart = 2 << 20
-	// endlessBodyInterval is the time between two later writes, so that callers can keep what they read in memory.
-	endlessBodyInterval = 10 * time.Millisecond
-)
-
 // Run is one execution of a request, as the server received it.
 type Run struct {
 	Attempt  string
@@ -238,25 +229,16 @@
 	if serviceTime > 0 && s.disconnectsDuringWork(conn, serviceTime) {
 		return
 	}
-	switch fault {
-	case RepeatRefusal:
-		_, _ = io.WriteString(conn, refusal)
-	case EndlessHead:
-		s.writeEndless(conn, signedHead(http.StatusOK, attempt), "X-Endless: "+strings.Repeat("x", endlessPart)+"\r\n", 0)
-	case EndlessBody:
-		start := signedHead(http.StatusOK, attempt) + "\r\n" + strings.Repeat("x", endlessBodyStart)
-		s.writeEndless(conn, start, strings.Repeat("x", endlessPart), endlessBodyInterval)
-	default:
-		_, _ = io.WriteString(conn, s.addNotice(arrival, formatResponse(fault, attempt, s.id)))
+	if r, ok := newEndlessResponse(fault, attempt); ok {
+		r.write(conn)
+		s.countDisconnect()
+		return
 	}
-}
-
-// writeEndless writes start, and then part until the connection is closed.
-func (s *Server) writeEndless(conn net.Conn, start, part string, interval time.Duration) {
-	for _, err := io.WriteString(conn, start); err == nil; _, err = io.WriteString(conn, part) {
-		time.Sleep(interval)
+	if fault == RepeatRefusal {
+		_, _ = io.WriteString(conn, refusal)
+		return
 	}
-	s.countDisconnect()
+	_, _ = io.WriteString(conn, s.addNotice(arrival, formatResponse(fault, attempt, s.id)))
 }
 
 func (s *Server) countDisconnect() {
--- a/cmd/standin/pkg/fleet/fleet_test.go
+++ b/cmd/standin/pkg/fleet/fleet_test.go
@@ -132,6 +132,11 @@
 		{"503 without proof that the request did not run", backendserver.RejectWithoutNotRun, 502, 502, 1},
 		{"errors of another request", backendserver.ForeignError, 502, 502, 1},
 		{"sends headers without end", backendserver.EndlessHead, 502, 502, 1},
+		{"sends short headers without end", backendserver.EndlessShortHeaders, 502, 502, 1},
+		{"sends a status line without end", backendserver.EndlessStatusLine, 502, 502, 1},
+		{"sends interim responses without end", backendserver.EndlessInterimResponses, 502, 502, 1},
+		{"sends a chunk extension without end", backendserver.EndlessChunkExtension, 502, 502, 1},
+		{"sends trailers without end", backendserver.EndlessTrailers, 502, 502, 1},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			ctx, f := startFleet(t, 2, 3)
--- a/cmd/standin/pkg/soak/faults.go
+++ b/cmd/standin/pkg/soak/faults.go
@@ -162,10 +162,35 @@
 		return "drop history of server registry", func(context.Context, time.Duration) { s.store.DropHistory("keyed.servers") }
 	default:
 		f := backendserver.Fault(1 + s.random.IntN(int(backendserver.LastFault)))
+		if f == backendserver.EndlessHead || f == backendserver.EndlessBody {
+			return s.nextEndlessFault(serverIndex)
+		}
 		return fmt.Sprint("backend server ", serverIndex, " fault ", f), serverFault(f)
 	}
 }
 
+// nextEndlessFault draws a kind of responses without an end, which one backend server or every second one sends.
+func (s *Soak) nextEndlessFault(serverIndex int) (string, func(context.Context, time.Duration)) {
+	faults := backendserver.EndlessFaults()
+	f := faults[s.endless.IntN(len(faults))]
+	targets := s.servers[serverIndex : serverIndex+1]
+	if s.endless.IntN(2) == 0 {
+		targets = nil
+		for i := serverIndex % 2; i < len(s.servers); i += 2 {
+			targets = append(targets, s.servers[i])
+		}
+	}
+	return fmt.Sprint(len(targets), " backend servers, first ", serverIndex, " fault ", f), func(_ context.Context, duration time.Duration) {
+		for _, server := range targets {
+			server.SetFault(f, serviceTime)
+		}
+		time.Sleep(duration)
+		for _, server := range targets {
+			server.SetFault(backendserver.Healthy, serviceTime)
+		}
+	}
+}
+
 // rollingRestart terminates the VMs one after the other, without waiting for the former ones to be back.
 func (s *Soak) rollingRestart(ctx context.Context, duration time.Duration) {
 	var group sync.WaitGroup
--- a/cmd/standin/pkg/soak/regression.go
+++ b/cmd/standin/pkg/soak/regression.go
@@ -14,5 +14,6 @@
 		{701, "the soak counted a streamed response that a fault of the server's connections broke off as cut by the VM"},
 		{703, "a pause that a server asked for right after its restart ended when its new incarnation was listed"},
 		{832, "the soak counted a response without an end, which a stopping VM cut at the end of its grace period, as cut by the VM"},
+		{843, "each of several leaders that followed each other within a window let the limited team exceed its rate"},
 	}
 }
--- a/cmd/standin/pkg/soak/soak.go
+++ b/cmd/standin/pkg/soak/soak.go
@@ -55,12 +55,13 @@
 type Soak struct {
 	params Params
 	random *rand.Rand
-	// restores draws the restores of the store.
-	restores *rand.Rand
-	store    *keyedstore.Store
-	vms      []*vm
-	servers  []*backendserver.Server
-	proxies  []*faultproxy.Proxy
+	// restores draws the restores of the store, and endless the kinds of responses without an end. Each has a source of its own, so that the
+	// other faults of a seed stay the same.
+	restores, endless *rand.Rand
+	store             *keyedstore.Store
+	vms               []*vm
+	servers           []*backendserver.Server
+	proxies           []*faultproxy.Proxy
 	// configVersion is the version of the newest configuration in the store.
 	configVersion int
 	recorder      *recorder
@@ -77,7 +78,7 @@
 func Run(ctx context.Context, p Params) ([]string, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	s := &Soak{params: p, random: rand.New(rand.NewPCG(p.Seed, 21)), restores: rand.New(rand.NewPCG(p.Seed, 22)), store: keyedstore.New(), recorder: newRecorder()}
+	s := &Soak{params: p, random: rand.New(rand.NewPCG(p.Seed, 21)), restores: rand.New(rand.NewPCG(p.Seed, 22)), endless: rand.New(rand.NewPCG(p.Seed, 24)), store: keyedstore.New(), recorder: newRecorder()}
 	if err := os.MkdirAll(p.Folder, 0o700); err != nil {
 		return nil, errors.Wrap(err, "create the directory for settings and logs")
 	}
@@ -112,12 +113,19 @@
 	if !configured {
 		violations = append(violations, "not all VMs served a new route within "+recoveryTimeout.String())
 	}
+	peakMemory := int64(0)
 	for _, v := range s.vms {
+		v.recordMemory()
+		peakMemory = max(peakMemory, v.peakMemory)
 		if v.unexpectedExits > 0 {
 			violations = append(violations, fmt.Sprintf("VM %d exited unexpectedly %d times", v.index, v.unexpectedExits))
 		}
+		if v.peakMemory > memoryMB<<20 {
+			violations = append(violations, fmt.Sprintf("VM %d used %d MB of memory", v.index, v.peakMemory>>20))
+		}
 	}
-	_, _ = fmt.Fprintf(p.Out, "seed %d: %s, %d faults, %d notices, violations: %d\n", p.Seed, s.recorder, len(s.faults), s.noticeCount, len(violations))
+	_, _ = fmt.Fprintf(p.Out, "seed %d: %s, %d faults, %d notices, peak memory %d MB, violations: %d\n",
+		p.Seed, s.recorder, len(s.faults), s.noticeCount, peakMemory>>20, len(violations))
 	return violations, nil
 }
 
--- a/cmd/standin/pkg/soak/vm.go
+++ b/cmd/standin/pkg/soak/vm.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -17,8 +18,12 @@
 	"github.com/azuretiller/azuretiller/platform"
 )
 
-// graceSeconds is the time from SIGTERM to SIGKILL, and the shutdown grace in the settings of the VMs.
-const graceSeconds = 3
+const (
+	// graceSeconds is the time from SIGTERM to SIGKILL, and the shutdown grace in the settings of the VMs.
+	graceSeconds = 3
+	// memoryMB is the memory of a VM in units of 1,048,576 bytes, that of the smallest VMs of the users.
+	memoryMB = 184
+)
 
 // vm is one VM, run as a process of the azuretiller program.
 type vm struct {
@@ -39,6 +44,8 @@
 	stopRequested bool
 	// unexpectedExits counts the processes that exited without being stopped by the soak.
 	unexpectedExits int
+	// peakMemory is the largest resident set of a process of the VM in bytes, as of recordMemory.
+	peakMemory int64
 }
 
 func (v *vm) callerAddress() string  { return fmt.Sprintf("%s:%d", v.ip, loopback.CallerPort) }
@@ -67,6 +74,7 @@
 [limits]
 cpuShare = 1.0
 cpuCores = 1
+memoryMb = %d
 [bounds]
 grace = "%ds"
 retryRatio = 0.2
@@ -80,7 +88,7 @@
 ttl_max = "5s"
 [platform]
 address = %q
-`, v.index, v.ip, v.index%2, loopback.PeerPort, loopback.PeerPort+5, seeds, v.callerAddress(), v.ip, loopback.ReadinessPort, v.resolveAddress(), graceSeconds, rateTolerance, rateSlackRequests, v.storeProxy.Address())
+`, v.index, v.ip, v.index%2, loopback.PeerPort, loopback.PeerPort+5, seeds, v.callerAddress(), v.ip, loopback.ReadinessPort, v.resolveAddress(), memoryMB, graceSeconds, rateTolerance, rateSlackRequests, v.storeProxy.Address())
 }
 
 // start writes the settings and starts the process.
@@ -127,11 +135,29 @@
 	_ = v.command.Process.Signal(s)
 }
 
+// recordMemory updates peakMemory with the memory of the running process.
+func (v *vm) recordMemory() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", v.command.Process.Pid))
+	if err != nil {
+		// The process has exited, or the system has no such file.
+		return
+	}
+	for line := range strings.Lines(string(data)) {
+		var kilobytes int64
+		if n, _ := fmt.Sscanf(line, "VmHWM: %d kB", &kilobytes); n == 1 {
+			v.peakMemory = max(v.peakMemory, kilobytes<<10)
+		}
+	}
+}
+
 // restart stops the process with a signal, kills it if it is still running after the grace time, and starts it again after a
 // pause.
 func (v *vm) restart(ctx context.Context, s syscall.Signal, pause time.Duration, vmCount int) error {
 	v.restartMu.Lock()
 	defer v.restartMu.Unlock()
+	v.recordMemory()
 	v.signal(s, true)
 	v.mu.Lock()
 	exited := v.exited
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -125,7 +125,7 @@
 	e.check = invariant.New(func(text string) { c.Log.WithField("message", text).Error("invariant violated") })
 	e.member = member.New(now, e.self, s.Seeds, s.Bounds.RateWindow)
 	e.gate = servergate.New()
-	e.placer = fallback.New(now, s.VM, s.Zone, rand.New(rand.NewPCG(uint64(e.self.Incarnation), 1)))
+	e.placer = fallback.New(now, s.Zone, rand.New(rand.NewPCG(uint64(e.self.Incarnation), 1)))
 	e.placer.SetTolerance(rateTolerance(s.Bounds))
 	e.grace.Store(int64(s.Bounds.Grace))
 	e.ttl.Store(int64(addressTTL(s.Bounds)))
--- a/pkg/edge/rates.go
+++ b/pkg/edge/rates.go
@@ -38,7 +38,9 @@
 // updateShare passes the share of the rates that this VM may spend itself to its placer.
 func (e *Edge) updateShare(now time.Time) {
 	share := e.member.SpendableShare(now)
-	if old := e.placer.SetShare(now, e.member.HeldShare(now), share); old != share {
+	held, offset := e.member.HeldShare(now)
+	e.placer.SetReserve(held, offset)
+	if old := e.placer.SetShare(now, share); old != share {
 		e.logEvent("own rate share", log.Fields{"share": share.Of(1), "term": e.member.Term()})
 	}
 }
--- a/pkg/fallback/placer.go
+++ b/pkg/fallback/placer.go
@@ -41,12 +41,12 @@
 }
 
 // New returns a Placer for a VM in an availability zone that has just started.
-func New(now time.Time, vm azuretiller.VMID, zone azuretiller.Zone, random *rand.Rand) *Placer {
+func New(now time.Time, zone azuretiller.Zone, random *rand.Rand) *Placer {
 	return &Placer{
 		zone:     zone,
 		random:   random,
 		limiter:  tokenbucket.New(0),
-		reserve:  reserve{vm: vm, startedAt: now, taken: map[azuretiller.TeamID][]time.Time{}},
+		reserve:  reserve{startedAt: now, taken: map[azuretiller.TeamID][]time.Time{}},
 		failedAt: map[azuretiller.InstanceID]time.Time{},
 		running:  map[azuretiller.InstanceID]int{},
 	}
@@ -67,14 +67,20 @@
 	p.reserve.limits = limits
 }
 
-// SetShare sets the share of the rates that this VM holds, and the part of it that it may spend, which is either all or nothing. It returns the
-// former part.
-func (p *Placer) SetShare(now time.Time, held, spendable azuretiller.RateShare) azuretiller.RateShare {
+// SetReserve sets the share of the rates that this VM holds, and the sum of the shares of the VMs before it. They determine which part of the
+// tolerance it may use.
+func (p *Placer) SetReserve(held, offset azuretiller.RateShare) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.reserve.share, p.reserve.offset = held, offset
+}
+
+// SetShare sets the share of the rates that this VM may spend, and returns the former one.
+func (p *Placer) SetShare(now time.Time, share azuretiller.RateShare) azuretiller.RateShare {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	former := p.limiter.Share()
-	p.limiter.SetShare(now, spendable)
-	p.reserve.share = held
+	p.limiter.SetShare(now, share)
 	return former
 }
 
--- a/pkg/fallback/reserve.go
+++ b/pkg/fallback/reserve.go
@@ -12,10 +12,10 @@
 // reserve is the part of the tolerance for exceeding the rates that a VM may use while the leader does not answer, even if it may not spend
 // its share of the rates yet.
 type reserve struct {
-	vm        azuretiller.VMID
 	tolerance tokenbucket.Tolerance
 	limits    map[azuretiller.TeamID]tokenbucket.Limit
-	share     azuretiller.RateShare
+	// share is the share of the rates that the VM holds, and offset the sum of the shares of the VMs before it.
+	share, offset azuretiller.RateShare
 	// taken holds, for each team, when the last tokens were taken. A former process of the VM may have taken all before startedAt.
 	taken     map[azuretiller.TeamID][]time.Time
 	startedAt time.Time
@@ -39,13 +39,10 @@
 	return false
 }
 
-// size returns how many tokens of a team this VM may take within a window of the tolerance. The fraction of a token that its share amounts to is
-// rounded up on that fraction of the VMs.
+// size returns how many tokens of a team this VM may take within a window of the tolerance. The whole tokens of all VMs lie on the line from 0
+// to 1 at equal distances, from a start that differs between teams; a VM has those within its share of the line.
 func (r *reserve) size(team azuretiller.TeamID) int {
-	exact := r.share.Of(reservePart*r.tolerance.Of(r.limits[team])) / float64(azuretiller.TokenCost)
-	d := xxhash.New()
-	_, _ = d.WriteString(string(r.vm))
-	_, _ = d.Write([]byte{0})
-	_, _ = d.WriteString(string(team))
-	return int(exact + float64(d.Sum64()>>11)/(1<<53))
+	all := reservePart * r.tolerance.Of(r.limits[team]) / float64(azuretiller.TokenCost)
+	start := float64(xxhash.Sum64String(string(team))>>11) / (1 << 53)
+	return int(start+(r.offset+r.share).Of(all)) - int(start+r.offset.Of(all))
 }
--- a/pkg/fleetwire/codec.go
+++ b/pkg/fleetwire/codec.go
@@ -46,6 +46,7 @@
 			Share:    uint32(b.Share),
 			Renewed:  b.ShareRenewed,
 			Idle:     b.ToleranceIdle,
+			Offset:   uint32(b.ShareOffset),
 		}}
 	case message.VoteRequest:
 		d.Body = &fleetpb.Datagram_Poll{Poll: &fleetpb.Poll{Term: uint64(b.Term)}}
@@ -117,6 +118,7 @@
 			Share:             azuretiller.RateShare(b.BeatAnswer.GetShare()),
 			ShareRenewed:      b.BeatAnswer.GetRenewed(),
 			ToleranceIdle:     b.BeatAnswer.GetIdle(),
+			ShareOffset:       azuretiller.RateShare(b.BeatAnswer.GetOffset()),
 		}
 	case *fleetpb.Datagram_Poll:
 		e.Body = message.VoteRequest{Term: azuretiller.Term(b.Poll.GetTerm())}
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -100,7 +100,7 @@
 func newTestGateway(placements []message.PlaceResponse, responses ...upstream.Response) *testGateway {
 	g := &testGateway{transport: &fakeTransport{calls: map[uint64]chan any{}, placements: placements, reportedTo: make(chan string, 9)}, sender: &fakeSender{responses: responses}}
 	c := &common.Common{Log: &log.Logger{Handler: discard.New()}, Clock: systemclock.New(), Metrics: tally.NoopScope}
-	g.Gateway = New(c, g.state.Load, g.transport, g.sender, fallback.New(time.Now(), "vm", "z", nil), servergate.New())
+	g.Gateway = New(c, g.state.Load, g.transport, g.sender, fallback.New(time.Now(), "z", nil), servergate.New())
 	g.state.Store(readyState())
 	return g
 }
@@ -281,7 +281,7 @@
 		status         int
 	}{{true, 200}, {false, 503}} {
 		g := newTestGateway([]message.PlaceResponse{placement(1)}, newResponse(message.Succeeded, 200))
-		g.placer = fallback.New(time.Now(), "vm", "z", rand.New(rand.NewPCG(1, 2)))
+		g.placer = fallback.New(time.Now(), "z", rand.New(rand.NewPCG(1, 2)))
 		g.placer.SetLimits(time.Now(), map[azuretiller.TeamID]tokenbucket.Limit{"team": {Rate: 1}})
 		state := func(leaderReachable bool) *State {
 			s := readyState()
--- a/pkg/gateway/notice_test.go
+++ b/pkg/gateway/notice_test.go
@@ -141,7 +141,7 @@
 func TestLeavingServerGetsNoRequestsWithoutLeader(t *testing.T) {
 	good := newResponse(message.Succeeded, 200)
 	g := newTestGateway(nil, leavingResponse(message.Succeeded, 200), good)
-	g.placer = fallback.New(time.Now(), "vm", "z", rand.New(rand.NewPCG(1, 2)))
+	g.placer = fallback.New(time.Now(), "z", rand.New(rand.NewPCG(1, 2)))
 	g.state.Store(stateWithoutLeader(viewServer("b", 1)))
 	assert.Equal(t, 200, g.serve("POST", "/orders/1").Code)
 	w := g.serve("POST", "/orders/2")
--- a/pkg/gateway/pause_test.go
+++ b/pkg/gateway/pause_test.go
@@ -94,7 +94,7 @@
 			refused := message.PlaceResponse{Code: paused, Service: "s", RetryAfter: time.Second, Term: 1}
 			grants := []message.PlaceResponse{placement(1), placement(2), refused}
 			g, clock := newPausingGateway(grants, pausingResponse(3*time.Second), pausingResponse(1500*time.Millisecond))
-			g.placer = fallback.New(time.Now(), "vm", "z", rand.New(rand.NewPCG(1, 2)))
+			g.placer = fallback.New(time.Now(), "z", rand.New(rand.NewPCG(1, 2)))
 			state := stateWithoutLeader(viewServer("b", 0), viewServer("c", 0))
 			state.LeaderReachable = c.leader
 			g.state.Store(state)
@@ -117,7 +117,7 @@
 // TestPauseIsNoEjection guards against a VM without a leader that avoids a server after the pause that it asked for.
 func TestPauseIsNoEjection(t *testing.T) {
 	g, clock := newPausingGateway(nil, pausingResponse(300*time.Millisecond), newResponse(message.Succeeded, 200))
-	g.placer = fallback.New(time.Now(), "vm", "z", rand.New(rand.NewPCG(1, 2)))
+	g.placer = fallback.New(time.Now(), "z", rand.New(rand.NewPCG(1, 2)))
 	g.state.Store(stateWithoutLeader(viewServer("b", 0)))
 	require.Equal(t, 503, g.serve("POST", "/orders/1").Code)
 	clock.now = clock.now.Add(300 * time.Millisecond)
--- a/pkg/leader/params.go
+++ b/pkg/leader/params.go
@@ -54,7 +54,7 @@
 	responseRetention = 3 * time.Second
 	// tolerancePart is the part of the tolerance for exceeding the rates that leaders use while they do not spend the whole rates. A successor that
 	// does not know of the last use may use it once more.
-	tolerancePart = 0.2
+	tolerancePart = 0.17
 	// maxTokenWait is how long a request may wait for a token while a leader has just been elected.
 	maxTokenWait = 200 * time.Millisecond
 	// loggedShareStep is the change of the share of the rates from which it is logged.
--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -142,8 +142,10 @@
 // SetRateWindow replaces the window of the tolerance for exceeding the teams' rates.
 func (m *Member) SetRateWindow(window time.Duration) { m.holder.SetWindow(window) }
 
-// HeldShare returns the share of the teams' rates that this VM holds.
-func (m *Member) HeldShare(now time.Time) azuretiller.RateShare { return m.holder.Held(now) }
+// HeldShare returns the share of the teams' rates that this VM holds, and the sum of the shares of the VMs before it.
+func (m *Member) HeldShare(now time.Time) (share, offset azuretiller.RateShare) {
+	return m.holder.Held(now), m.holder.Offset()
+}
 
 // SpendableShare returns the share of the teams' rates that this VM may spend itself, since no leader does.
 func (m *Member) SpendableShare(now time.Time) azuretiller.RateShare { return m.holder.Spendable(now) }
--- a/pkg/member/traffic_test.go
+++ b/pkg/member/traffic_test.go
@@ -55,7 +55,8 @@
 	f.onNewLeader = tr.newLeader
 	f.onStart = tr.newPlacer
 	f.onShare = func(v *vm, share azuretiller.RateShare) {
-		tr.localPlacers[v].SetShare(f.schedule.Now(), v.member.HeldShare(f.schedule.Now()), share)
+		tr.localPlacers[v].SetReserve(v.member.HeldShare(f.schedule.Now()))
+		tr.localPlacers[v].SetShare(f.schedule.Now(), share)
 	}
 	f.onMessage = tr.receive
 	for _, v := range f.vms {
@@ -67,7 +68,7 @@
 
 func (tr *traffic) newPlacer(v *vm) {
 	now := tr.schedule.Now()
-	p := fallback.New(now, v.id, "z", rand.New(rand.NewPCG(uint64(v.index), uint64(v.incarnation))))
+	p := fallback.New(now, "z", rand.New(rand.NewPCG(uint64(v.index), uint64(v.incarnation))))
 	p.SetTolerance(tolerance())
 	p.SetLimits(now, tokenbucket.Limits(tr.config))
 	tr.localPlacers[v] = p
--- a/pkg/message/message.go
+++ b/pkg/message/message.go
@@ -72,6 +72,8 @@
 	// is false, the share of the VM can only become smaller.
 	Share        azuretiller.RateShare
 	ShareRenewed bool
+	// ShareOffset is the sum of the shares of the VMs before this one in the order of their ids.
+	ShareOffset azuretiller.RateShare
 	// ToleranceIdle means that the leader used no tolerance for exceeding the rates within the last window.
 	ToleranceIdle bool
 }
--- a/pkg/shareholder/holder.go
+++ b/pkg/shareholder/holder.go
@@ -28,6 +28,7 @@
 	// clock decides when the share expires. Pledges are measured by the monotonic clock, so that no step of the wall clock shortens them.
 	clock     *leaseclock.Clock
 	share     azuretiller.RateShare
+	offset    azuretiller.RateShare
 	renewedAt time.Duration
 	left      bool
 
@@ -87,6 +88,7 @@
 	if h.left {
 		return first
 	}
+	h.offset = r.ShareOffset
 	if r.ShareRenewed {
 		h.share, h.renewedAt = r.Share, max(h.renewedAt, r.SentAt)
 	} else {
@@ -113,6 +115,9 @@
 	return h.share
 }
 
+// Offset returns the sum of the shares of the VMs before this one.
+func (h *Holder) Offset() azuretiller.RateShare { return h.offset }
+
 // Spendable returns the share that the VM may spend itself.
 func (h *Holder) Spendable(now time.Time) azuretiller.RateShare {
 	if h.stamp > 0 && now.Before(h.pledgedUntil) || len(h.pledges(now)) > 0 {
--- a/pkg/shareledger/entry.go
+++ b/pkg/shareledger/entry.go
@@ -11,6 +11,8 @@
 type entry struct {
 	// share is the recorded share, which is the most that the VM may hold. next is the share in the deal that is under way.
 	share, next azuretiller.RateShare
+	// offset is the sum of the recorded shares of the VMs with smaller ids.
+	offset azuretiller.RateShare
 	// granted is the share in the responses to the VM. grantedAt is the stamp of the first one with it, zero until it is sent, and confirmed
 	// means that the VM received it or a later one.
 	granted   azuretiller.RateShare
--- a/pkg/shareledger/ledger.go
+++ b/pkg/shareledger/ledger.go
@@ -91,10 +91,12 @@
 	for vm, share := range shares {
 		l.entry(vm).share = share
 	}
-	for vm, e := range l.entries {
-		e.share = shares[vm]
-		e.next = e.share
+	offset := azuretiller.RateShare(0)
+	for _, vm := range slices.Sorted(maps.Keys(l.entries)) {
+		e := l.entries[vm]
+		e.share, e.next, e.offset = shares[vm], shares[vm], offset
 		e.grant(e.share)
+		offset += e.share
 	}
 	l.summaryUntil = 0
 }
@@ -116,7 +118,7 @@
 	at := l.clock.Elapsed(now)
 	e := l.entry(vm)
 	if restarted {
-		*e = entry{share: e.share, next: e.next, granted: e.granted, stampedAt: e.stampedAt}
+		*e = entry{share: e.share, next: e.next, offset: e.offset, granted: e.granted, stampedAt: e.stampedAt}
 	}
 	if e.heardAt == 0 {
 		e.joinedAt = at
@@ -155,7 +157,7 @@
 		e.grantedAt = e.stampedAt
 	}
 	r.Stamp, r.SentAt = e.stampedAt, hb.SentAt
-	r.Share, r.ShareRenewed = e.granted, l.isRenewable(at)
+	r.Share, r.ShareRenewed, r.ShareOffset = e.granted, l.isRenewable(at), e.offset
 }
 
 // Share returns the share of the rates that the leader may spend.
