Record which leader may use the tolerance of the rates, and use none on a first leader

Cause: a leader uses the tolerance for exceeding the rates in the first second of its term, in case the tokens of its predecessor do not reach it. The first leader of a deployment did so too, although nobody granted tokens before it and its buckets start full.

The tolerance was bounded by what VMs remembered of the last leader that used it, and a successor that did not know of the last use could use it once more. The leader record now names the term of a leader that may have used it within the last window. A leader writes its term there before the first use, and its successor starts with empty buckets of the tolerance; a leader that has been replaced cannot write the record. This replaces two fields of heartbeats and their answers. Leaders may use two thirds of the tolerance instead of 0.17 of it, VMs without a leader a quarter instead of 0.4: 0.92 in all.

--- a/pkg/edge/control.go
+++ b/pkg/edge/control.go
@@ -352,7 +352,6 @@
 	e.processSettings.Bounds = s.Bounds
 	e.grace.Store(int64(s.Bounds.Grace))
 	e.ttl.Store(int64(addressTTL(s.Bounds)))
-	e.member.SetRateWindow(s.Bounds.RateWindow)
 	e.placer.SetTolerance(rateTolerance(s.Bounds))
 	if e.leader != nil {
 		e.leader.SetParams(e.params())
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -123,7 +123,7 @@
 		invalidEntries: invalidentries.New(),
 	}
 	e.check = invariant.New(func(text string) { c.Log.WithField("message", text).Error("invariant violated") })
-	e.member = member.New(now, e.self, s.Seeds, s.Bounds.RateWindow)
+	e.member = member.New(now, e.self, s.Seeds)
 	e.gate = servergate.New()
 	e.placer = fallback.New(now, s.Zone, rand.New(rand.NewPCG(uint64(e.self.Incarnation), 1)))
 	e.placer.SetTolerance(rateTolerance(s.Bounds))
--- a/pkg/fallback/placer.go
+++ b/pkg/fallback/placer.go
@@ -20,7 +20,7 @@
 	// also the range of the random number that is added to the score.
 	scorePenalty = 15
 	// reservePart is the part of the tolerance for exceeding the rates that all VMs together may use while no leader answers.
-	reservePart = 0.4
+	reservePart = 0.25
 	// noShareRetryAfter is the time after which callers may retry while this VM may not spend its share of the rates. A lost leader is replaced
 	// within a second.
 	noShareRetryAfter = 300 * time.Millisecond
@@ -45,7 +45,7 @@
 	return &Placer{
 		zone:     zone,
 		random:   random,
-		limiter:  tokenbucket.New(0),
+		limiter:  tokenbucket.New(tokenbucket.Unspent{}),
 		reserve:  reserve{startedAt: now, taken: map[azuretiller.TeamID][]time.Time{}},
 		failedAt: map[azuretiller.InstanceID]time.Time{},
 		running:  map[azuretiller.InstanceID]int{},
--- a/pkg/fleetwire/codec.go
+++ b/pkg/fleetwire/codec.go
@@ -30,7 +30,6 @@
 			StampMs:     encodeClock(b.Stamp),
 			Share:       uint32(b.Share),
 			Pledges:     encodePledges(b.Pledges),
-			Unused:      b.ToleranceUnused,
 		}}
 	case message.HeartbeatResponse:
 		d.Body = &fleetpb.Datagram_BeatAnswer{BeatAnswer: &fleetpb.BeatAnswer{
@@ -45,7 +44,6 @@
 			SentMs:   encodeClock(b.SentAt),
 			Share:    uint32(b.Share),
 			Renewed:  b.ShareRenewed,
-			Idle:     b.ToleranceIdle,
 			Offset:   uint32(b.ShareOffset),
 		}}
 	case message.VoteRequest:
@@ -87,22 +85,21 @@
 	switch b := d.GetBody().(type) {
 	case *fleetpb.Datagram_Beat:
 		e.Body = message.Heartbeat{
-			VM:              azuretiller.VMID(b.Beat.GetVm()),
-			Incarnation:     azuretiller.Incarnation(b.Beat.GetIncarnation()),
-			Zone:            azuretiller.Zone(b.Beat.GetZone()),
-			CallerAddress:   b.Beat.GetCallers(),
-			ResolveAddress:  b.Beat.GetAddresses(),
-			Ready:           b.Beat.GetReady(),
-			Leaving:         b.Beat.GetLeaving(),
-			Term:            azuretiller.Term(b.Beat.GetTerm()),
-			ViewVersion:     b.Beat.GetView(),
-			ConfigRevision:  b.Beat.GetSettings(),
-			CPUPercent:      int(b.Beat.GetPower()),
-			SentAt:          decodeClock(b.Beat.GetSentMs()),
-			Stamp:           decodeClock(b.Beat.GetStampMs()),
-			Share:           azuretiller.RateShare(b.Beat.GetShare()),
-			Pledges:         decodePledges(b.Beat.GetPledges()),
-			ToleranceUnused: b.Beat.GetUnused(),
+			VM:             azuretiller.VMID(b.Beat.GetVm()),
+			Incarnation:    azuretiller.Incarnation(b.Beat.GetIncarnation()),
+			Zone:           azuretiller.Zone(b.Beat.GetZone()),
+			CallerAddress:  b.Beat.GetCallers(),
+			ResolveAddress: b.Beat.GetAddresses(),
+			Ready:          b.Beat.GetReady(),
+			Leaving:        b.Beat.GetLeaving(),
+			Term:           azuretiller.Term(b.Beat.GetTerm()),
+			ViewVersion:    b.Beat.GetView(),
+			ConfigRevision: b.Beat.GetSettings(),
+			CPUPercent:     int(b.Beat.GetPower()),
+			SentAt:         decodeClock(b.Beat.GetSentMs()),
+			Stamp:          decodeClock(b.Beat.GetStampMs()),
+			Share:          azuretiller.RateShare(b.Beat.GetShare()),
+			Pledges:        decodePledges(b.Beat.GetPledges()),
 		}
 	case *fleetpb.Datagram_BeatAnswer:
 		e.Body = message.HeartbeatResponse{
@@ -117,7 +114,6 @@
 			SentAt:            decodeClock(b.BeatAnswer.GetSentMs()),
 			Share:             azuretiller.RateShare(b.BeatAnswer.GetShare()),
 			ShareRenewed:      b.BeatAnswer.GetRenewed(),
-			ToleranceIdle:     b.BeatAnswer.GetIdle(),
 			ShareOffset:       azuretiller.RateShare(b.BeatAnswer.GetOffset()),
 		}
 	case *fleetpb.Datagram_Poll:
--- a/pkg/leader/leader.go
+++ b/pkg/leader/leader.go
@@ -26,6 +26,9 @@
 	self     azuretiller.VMID
 	address  string
 	resigned bool
+	// startedAt is when this VM became leader, and first means that it is the first leader of the deployment.
+	startedAt time.Time
+	first     bool
 
 	config *config.Config
 	// members maps the host:port of each VM that sends heartbeats to its state.
@@ -111,6 +114,8 @@
 		term:             term,
 		self:             self,
 		address:          address,
+		startedAt:        now,
+		first:            isFirst(rates),
 		members:          map[string]*member{},
 		lost:             map[string]time.Time{},
 		resendTokens:     resendEntriesPerSecond,
@@ -122,12 +127,12 @@
 		recentResponses:  map[scheduler.Key]*cachedResponse{},
 		runningAttempts:  map[message.TicketID]runningAttempt{},
 		leaving:          map[azuretiller.InstanceID]leavingServer{},
-		limiter:          tokenbucket.New(unspentShare(rates)),
+		limiter:          newLimiter(rates, p),
 		ledger:           shareledger.New(now, term, self, rates),
 		loggedShare:      azuretiller.WholeRate,
 		handedOver:       map[azuretiller.Term]bool{},
 	}
-	l.limiter.SetTolerance(p.RateTolerance, tolerancePart)
+	l.ledger.SetWindow(p.RateTolerance.Window)
 	for _, peer := range peers {
 		l.lost[peer] = now
 	}
@@ -149,6 +154,7 @@
 func (l *Leader) SetParams(p Params) {
 	l.params = p
 	l.limiter.SetTolerance(p.RateTolerance, tolerancePart)
+	l.ledger.SetWindow(p.RateTolerance.Window)
 	for _, s := range l.schedulers {
 		s.SetParams(p.Scheduler)
 	}
--- a/pkg/leader/leader_test.go
+++ b/pkg/leader/leader_test.go
@@ -19,11 +19,17 @@
 
 func start() time.Time { return time.Unix(1_000_000, 0) }
 
+// newLeader returns the leader of a term that follows another one.
 func newLeader() *Leader {
+	return newLeaderWith(shareledger.Claimed(azuretiller.LeaderRecord{Term: 1, VM: "former"}, "vm-0"))
+}
+
+// newLeaderWith returns a leader that claimed its term with the given record.
+func newLeaderWith(rates azuretiller.RateLedger) *Leader {
 	return New(start(), Params{
 		Scheduler:     scheduler.Params{RetryRatio: 0.2, RetrySlack: 60},
 		RateTolerance: tokenbucket.Tolerance{Ratio: 0.1, Slack: 20, Window: 5 * time.Second},
-	}, invariant.NewPanicking(), 1, "vm-0", "10.0.0.0:1", shareledger.Claimed(azuretiller.LeaderRecord{Term: 1, VM: "former"}, "vm-0"), nil)
+	}, invariant.NewPanicking(), 1, "vm-0", "10.0.0.0:1", rates, nil)
 }
 
 func setTeamRate(l *Leader, rate, burst float64) {
@@ -158,13 +164,11 @@
 type testVM struct {
 	stamp time.Duration
 	share azuretiller.RateShare
-	// toleranceUnused is sent in heartbeats.
-	toleranceUnused bool
 }
 
 // exchangeHeartbeat sends a heartbeat of a VM to a leader and handles the response.
 func (v *testVM) exchangeHeartbeat(l *Leader, now time.Time, name string) {
-	hb := message.Heartbeat{VM: azuretiller.VMID(name), Incarnation: 1, Zone: "z", Ready: true, Term: 1, Stamp: v.stamp, Share: v.share, ToleranceUnused: v.toleranceUnused}
+	hb := message.Heartbeat{VM: azuretiller.VMID(name), Incarnation: 1, Zone: "z", Ready: true, Term: 1, Stamp: v.stamp, Share: v.share}
 	for _, e := range l.Receive(now, name, message.Envelope{Body: hb}) {
 		if s, ok := e.(Send); ok {
 			if r, ok := s.Message.Body.(message.HeartbeatResponse); ok {
@@ -176,12 +180,17 @@
 
 // confirmRates advances a leader whose store confirms its term and accepts the shares that it distributes.
 func confirmRates(l *Leader, now time.Time) {
-	for _, e := range l.Tick(now) {
+	writeRates(l, now, l.Tick(now))
+	l.ConfirmTerm(now, 0, l.Rates())
+}
+
+// writeRates lets the store accept the shares that a leader distributes.
+func writeRates(l *Leader, now time.Time, effects []Effect) {
+	for _, e := range effects {
 		if _, ok := e.(WriteRates); ok {
 			l.RatesWritten(now, nil)
 		}
 	}
-	l.ConfirmTerm(now, 0, l.Rates())
 }
 
 func TestRestartedVMReleasesItsRequests(t *testing.T) {
@@ -214,14 +223,22 @@
 		p := l.params
 		p.RateTolerance.Slack = slack
 		l.SetParams(p)
-		vm := &testVM{toleranceUnused: true}
+		vm := &testVM{}
 		for range 2 {
 			vm.exchangeHeartbeat(l, now, "vm-0")
 		}
 		placed := 0
 		for call := range uint64(50) {
-			if placeResponses(l.Receive(now, "vm-0", message.Envelope{Call: call + 1, Body: newPlaceRequest(config.Backend{Service: "a", Weight: 1})}))[0].Ticket != 0 {
-				placed++
+			for _, e := range l.Receive(now, "vm-0", message.Envelope{Call: call, Body: newPlaceRequest(config.Backend{Service: "a", Weight: 1})}) {
+				switch v := e.(type) {
+				case WriteRates:
+					assert.Zero(t, placed, "the record says that the tolerance is used before it is")
+					l.RatesWritten(now, nil)
+				case Send:
+					if v.Message.Body.(message.PlaceResponse).Ticket != 0 {
+						placed++
+					}
+				}
 			}
 		}
 		// The tolerance is a tenth of the requests of 5 s and of the burst, and the slack.
--- a/pkg/leader/members.go
+++ b/pkg/leader/members.go
@@ -77,7 +77,6 @@
 	response := l.heartbeatResponse(true)
 	l.ledger.Receive(now, hb.VM, hb, restarted)
 	l.ledger.Respond(now, hb.VM, hb, &response)
-	response.ToleranceIdle = response.Stamp > 0 && l.limiter.IsToleranceIdle(now)
 	effects = append(effects, Send{To: from, Message: message.Envelope{Call: call, Body: response}})
 	if l.needsFullView(now, m) && l.takeResendTokens(now) {
 		m.fullViewSentAt = now
--- a/pkg/leader/params.go
+++ b/pkg/leader/params.go
@@ -52,11 +52,13 @@
 	confirmInterval = 2 * time.Second
 	// responseRetention is how long responses are cached for retransmitted requests.
 	responseRetention = 3 * time.Second
-	// tolerancePart is the part of the tolerance for exceeding the rates that leaders use while they do not spend the whole rates. A successor that
-	// does not know of the last use may use it once more.
-	tolerancePart = 0.17
-	// maxTokenWait is how long a request may wait for a token while a leader has just been elected.
-	maxTokenWait = 200 * time.Millisecond
+	// tolerancePart is the part of the tolerance for exceeding the rates that leaders hold to use while they do not spend the whole rates. With
+	// what is refilled within a window, they use four thirds of it.
+	tolerancePart = 0.5
+	// joinTime is how long most VMs take at most to join a new leader. Requests wait until then if they depend on the shares of the VMs.
+	joinTime = 300 * time.Millisecond
+	// collectingWait is the longest Retry-After time of a leader that has just been elected, as VMs join it within tenths of a second.
+	collectingWait = 200 * time.Millisecond
 	// loggedShareStep is the change of the share of the rates from which it is logged.
 	loggedShareStep = azuretiller.WholeRate / 20
 	// successGranularity is the step in percent to which success probabilities in the view are rounded, so that small changes do
--- a/pkg/leader/rates.go
+++ b/pkg/leader/rates.go
@@ -8,41 +8,51 @@
 	"github.com/azuretiller/azuretiller"
 	"github.com/azuretiller/azuretiller/pkg/message"
 	"github.com/azuretiller/azuretiller/pkg/shareledger"
+	"github.com/azuretiller/azuretiller/pkg/tokenbucket"
 )
 
-// unspentShare returns the share of the rates that nobody has spent before a leader that claimed its term with the given record.
-func unspentShare(rates azuretiller.RateLedger) azuretiller.RateShare {
-	if len(rates.Former) == 0 {
-		return rates.Total()
+// newLimiter returns the limiter of a leader that claimed its term with the given record.
+func newLimiter(rates azuretiller.RateLedger, p Params) *tokenbucket.Limiter {
+	unspent := tokenbucket.Unspent{}
+	if isFirst(rates) {
+		unspent.Rates = azuretiller.WholeRate
 	}
-	return 0
+	if rates.ToleranceTerm == 0 {
+		unspent.Tolerance = azuretiller.WholeRate
+	}
+	limiter := tokenbucket.New(unspent)
+	limiter.SetTolerance(p.RateTolerance, tolerancePart)
+	return limiter
 }
 
+// isFirst reports whether a term was claimed with the first record of the deployment, so that nobody has granted tokens before.
+func isFirst(rates azuretiller.RateLedger) bool { return len(rates.Former) == 0 }
+
 // updateShare passes the share of the rates that this leader may spend to the limiter.
-func (l *Leader) updateShare(now time.Time) {
-	l.limiter.SetShare(now, l.ledger.Share(now))
-	if share := l.ledger.TakeTolerance(); share > 0 {
-		l.limiter.AddTolerance(share)
-	}
-}
+func (l *Leader) updateShare(now time.Time) { l.limiter.SetShare(now, l.ledger.Share(now)) }
 
 // takeToken takes a token for a request, or returns the time until one is available. While the leader does not spend the whole rates, and
-// when it has just been elected, it uses the tolerance too.
+// when it has just replaced another one, it uses the tolerance too.
 func (l *Leader) takeToken(now time.Time, team azuretiller.TeamID) (time.Duration, bool) {
 	l.updateShare(now)
 	wait, ok := l.limiter.Take(now, team)
-	if ok {
+	// The buckets of the first leader start full.
+	collecting := l.ledger.Collecting(now) && !l.first
+	switch {
+	case ok || l.limiter.Share() == azuretiller.WholeRate && !collecting:
+		return wait, ok
+	case l.ledger.WantTolerance(now) && l.limiter.TakeTolerance(now, team):
 		return 0, true
-	}
-	if l.limiter.Share() < azuretiller.WholeRate || l.ledger.Collecting(now) {
-		return wait, l.limiter.TakeTolerance(now, team)
+	case collecting:
+		return min(wait, collectingWait), false
 	}
 	return wait, false
 }
 
-// awaitsTokens reports whether a request that got no token should be sent again soon, since this leader has just been elected.
-func (l *Leader) awaitsTokens(now time.Time, wait time.Duration) bool {
-	return l.ledger.Collecting(now) && (l.limiter.Share() < azuretiller.WholeRate || wait <= maxTokenWait)
+// awaitsTokens reports whether a request that got no token should be sent again, since VMs are still joining this leader with their shares, or
+// since the leader is about to use the tolerance.
+func (l *Leader) awaitsTokens(now time.Time) bool {
+	return now.Sub(l.startedAt) < joinTime && (l.limiter.Share() < azuretiller.WholeRate || l.ledger.IsWriting())
 }
 
 // ReceiveHandOver adds the tokens that a former leader left unspent.
@@ -71,10 +81,17 @@
 		l.loggedShare = share
 		effects = append(effects, LogLine{"rate share", log.Fields{"share": share.Of(1), "members": len(l.members), "term": l.term}})
 	}
-	if record, ok := l.ledger.Deal(now); ok {
-		effects = append(effects, WriteRates{Rates: record}, LogLine{"rates distributed", log.Fields{"vms": len(record.Shares), "term": l.term}})
+	return append(effects, l.writeRates(now)...)
+}
+
+// writeRates writes the record of the shares if it is to change.
+func (l *Leader) writeRates(now time.Time) []Effect {
+	record, ok := l.ledger.Deal(now)
+	if !ok {
+		return nil
 	}
-	return effects
+	fields := log.Fields{"vms": len(record.Shares), "tolerance": record.ToleranceTerm, "term": l.term}
+	return []Effect{WriteRates{Rates: record}, LogLine{"rates distributed", fields}}
 }
 
 // rateCode returns the code for requests that get no token.
--- a/pkg/leader/requests.go
+++ b/pkg/leader/requests.go
@@ -39,7 +39,8 @@
 	}
 	if request.Attempt <= 1 {
 		if wait, ok := l.takeToken(now, request.Team); !ok {
-			if l.awaitsTokens(now, wait) {
+			effects = append(effects, l.writeRates(now)...)
+			if l.awaitsTokens(now) {
 				// The VM sends the request again.
 				return append(effects, Send{To: from, Message: message.Envelope{Call: call, Body: message.PlaceResponse{Queued: true, Term: l.term}}})
 			}
--- a/pkg/member/fleet_test.go
+++ b/pkg/member/fleet_test.go
@@ -135,7 +135,7 @@
 		Incarnation: azuretiller.Incarnation(v.incarnation),
 		Zone:        azuretiller.Zone(fmt.Sprint(v.index % 4)),
 		PeerAddress: v.address,
-	}, seeds, rateWindow)
+	}, seeds)
 	v.member.SetReady(true, 1)
 	if f.onStart != nil {
 		f.onStart(v)
--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -86,15 +86,15 @@
 	accessingRecord
 )
 
-// New returns a member that knows no leader. The tolerance for exceeding the teams' rates applies to each window of length rateWindow.
-func New(now time.Time, self azuretiller.VM, seeds []string, rateWindow time.Duration) *Member {
+// New returns a member that knows no leader.
+func New(now time.Time, self azuretiller.VM, seeds []string) *Member {
 	m := &Member{
 		self:             self,
 		seeds:            seeds,
 		startedAt:        now,
 		peers:            map[string]time.Time{},
 		claims:           map[azuretiller.Term]azuretiller.LeaderRecord{},
-		holder:           shareholder.New(now, rateWindow),
+		holder:           shareholder.New(now),
 		heartbeatSenders: map[string]time.Time{},
 	}
 	m.state = waiting
@@ -139,9 +139,6 @@
 	return now.Sub(m.leaderAnsweredAt)
 }
 
-// SetRateWindow replaces the window of the tolerance for exceeding the teams' rates.
-func (m *Member) SetRateWindow(window time.Duration) { m.holder.SetWindow(window) }
-
 // HeldShare returns the share of the teams' rates that this VM holds, and the sum of the shares of the VMs before it.
 func (m *Member) HeldShare(now time.Time) (share, offset azuretiller.RateShare) {
 	return m.holder.Held(now), m.holder.Offset()
@@ -219,7 +216,7 @@
 	if m.term > 0 && term.Era() > m.term.Era() {
 		m.formerEra, m.eraSince = m.SettledEra(now), now
 	}
-	m.holder.Follow(now, term)
+	m.holder.Follow(term)
 	m.term = term
 	m.leader = leader
 	m.leaderAddress = address
--- a/pkg/member/restore_test.go
+++ b/pkg/member/restore_test.go
@@ -99,7 +99,7 @@
 // record of the VM that leads in this term is lost, and a VM that read the late claim follows its VM.
 func TestClaimOfFormerEraDoesNotLead(t *testing.T) {
 	now := time.Unix(1_000_000, 0)
-	m := New(now, azuretiller.VM{ID: "late", PeerAddress: "10.0.0.1:7000"}, nil, rateWindow)
+	m := New(now, azuretiller.VM{ID: "late", PeerAddress: "10.0.0.1:7000"}, nil)
 	m.term, m.state = 1, accessingRecord
 	position := azuretiller.Position{Offset: 2}
 	rates := func(term azuretiller.Term, vm azuretiller.VMID) azuretiller.RateLedger {
--- a/pkg/member/view_test.go
+++ b/pkg/member/view_test.go
@@ -35,7 +35,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			now := time.Unix(1, 0)
-			m := New(now, azuretiller.VM{ID: "vm", Zone: "z", PeerAddress: "10.0.0.1:1"}, nil, rateWindow)
+			m := New(now, azuretiller.VM{ID: "vm", Zone: "z", PeerAddress: "10.0.0.1:1"}, nil)
 			for _, v := range []message.View{parts[0], c.between, parts[1]} {
 				m.Receive(now, "10.0.0.2:1", 0, v)
 			}
@@ -60,7 +60,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			now := time.Unix(1, 0)
-			m := New(now, azuretiller.VM{ID: "vm", Zone: "z", PeerAddress: "10.0.0.3:1"}, nil, rateWindow)
+			m := New(now, azuretiller.VM{ID: "vm", Zone: "z", PeerAddress: "10.0.0.3:1"}, nil)
 			m.SetReady(c.selfReady, 1)
 			m.Receive(now, "10.0.0.9:1", 0, message.View{Term: 1, Version: 1, Parts: 1, Members: []message.Member{
 				{VM: "a", Zone: "z", Peer: "10.0.0.1:1", Ready: c.lowestReady},
--- a/pkg/message/message.go
+++ b/pkg/message/message.go
@@ -39,8 +39,6 @@
 	Share azuretiller.RateShare
 	// Pledges are those to leaders of earlier terms, which may spend the share as well until they end.
 	Pledges []Pledge
-	// ToleranceUnused means that the leader may use the VM's part of the tolerance for exceeding the rates, since no other one did lately.
-	ToleranceUnused bool
 }
 
 // Pledge is the promise of a VM not to spend its share of the rates, since the leader of a term does.
@@ -74,8 +72,6 @@
 	ShareRenewed bool
 	// ShareOffset is the sum of the shares of the VMs before this one in the order of their ids.
 	ShareOffset azuretiller.RateShare
-	// ToleranceIdle means that the leader used no tolerance for exceeding the rates within the last window.
-	ToleranceIdle bool
 }
 
 // HandOver passes the unspent tokens of the teams' rates from a leader that has stopped to its successor.
--- a/pkg/shareholder/holder.go
+++ b/pkg/shareholder/holder.go
@@ -37,13 +37,6 @@
 	// pledgedUntil is when the pledge to the leader of term ends, and earlier are those to its predecessors.
 	pledgedUntil time.Time
 	earlier      []pledge
-
-	// window is the window in which the VM lets one leader start with its part of the tolerance, toleranceAt when it last did, and toleranceTerm
-	// the term of that leader. toleranceIdle means that the last leader used no tolerance lately.
-	window        time.Duration
-	toleranceAt   time.Time
-	toleranceTerm azuretiller.Term
-	toleranceIdle bool
 }
 
 type pledge struct {
@@ -51,29 +44,17 @@
 	until time.Time
 }
 
-// New returns the share of a VM that has just started. It holds nothing, but may have given pledges before. The tolerance for exceeding
-// the rates applies to each window of the given length.
-func New(now time.Time, window time.Duration) *Holder {
-	return &Holder{
-		clock:       leaseclock.New(now),
-		earlier:     []pledge{{until: now.Add(PledgeTime)}},
-		window:      window,
-		toleranceAt: now,
-	}
+// New returns the share of a VM that has just started. It holds nothing, but may have given pledges before.
+func New(now time.Time) *Holder {
+	return &Holder{clock: leaseclock.New(now), earlier: []pledge{{until: now.Add(PledgeTime)}}}
 }
 
-// SetWindow replaces the window of the tolerance.
-func (h *Holder) SetWindow(window time.Duration) { h.window = window }
-
 // Follow pledges the share to the leader of a new term.
-func (h *Holder) Follow(now time.Time, term azuretiller.Term) {
+func (h *Holder) Follow(term azuretiller.Term) {
 	if h.stamp > 0 {
 		h.earlier = append(h.earlier, pledge{term: h.term, until: h.pledgedUntil})
 	}
 	h.term, h.stamp = term, 0
-	if h.toleranceIdle && now.Sub(h.toleranceAt) >= h.window {
-		h.toleranceAt, h.toleranceTerm = now, term
-	}
 }
 
 // Receive handles a stamped response of the leader that the VM follows, and reports whether it is the first one.
@@ -83,7 +64,6 @@
 	}
 	first := h.stamp == 0
 	h.stamp = r.Stamp
-	h.toleranceIdle = r.ToleranceIdle
 	h.pledgedUntil = now.Add(PledgeTime)
 	if h.left {
 		return first
@@ -131,7 +111,6 @@
 	hb.SentAt = h.clock.Elapsed(now)
 	hb.Stamp = h.stamp
 	hb.Share = h.Held(now)
-	hb.ToleranceUnused = h.toleranceTerm == h.term
 	for _, p := range h.pledges(now) {
 		hb.Pledges = append(hb.Pledges, message.Pledge{Term: p.term, Remaining: p.until.Sub(now)})
 	}
--- a/pkg/shareledger/deal.go
+++ b/pkg/shareledger/deal.go
@@ -42,6 +42,8 @@
 type deal struct {
 	phase  dealPhase
 	shares map[azuretiller.VMID]azuretiller.RateShare
+	// tolerance is the term that the record names for the tolerance.
+	tolerance azuretiller.Term
 	// changedAt is when the phase began, or when the record was last handed out to be written.
 	changedAt time.Duration
 	pending   bool
@@ -53,12 +55,14 @@
 	switch l.deal.phase {
 	case dealIdle:
 		l.startDeal(at)
+		if wanted := l.wantedTolerance(at); l.deal.phase == dealIdle && wanted != l.tolerance.recorded && (wanted != 0 || at-l.deal.changedAt >= dealInterval) {
+			l.deal = deal{shares: l.Recorded().Shares}
+			return l.write(at), true
+		}
 	case dealShrinking:
-		if !l.hasShrunk(at) {
-			return azuretiller.RateLedger{}, false
+		if l.hasShrunk(at) {
+			return l.write(at), true
 		}
-		l.deal.phase, l.deal.changedAt = dealWriting, at
-		return l.dealRecord(), true
 	case dealWriting:
 		if !l.deal.pending && at-l.deal.changedAt >= dealInterval {
 			l.deal.changedAt = at
@@ -68,11 +72,20 @@
 	return azuretiller.RateLedger{}, false
 }
 
+// write begins to write the record of the deal.
+func (l *Ledger) write(at time.Duration) azuretiller.RateLedger {
+	l.deal.phase, l.deal.changedAt, l.deal.tolerance = dealWriting, at, l.wantedTolerance(at)
+	return l.dealRecord()
+}
+
 func (l *Ledger) dealRecord() azuretiller.RateLedger {
 	l.deal.pending = true
-	return azuretiller.RateLedger{Shares: maps.Clone(l.deal.shares), Former: slices.Clone(l.former)}
+	return azuretiller.RateLedger{Shares: maps.Clone(l.deal.shares), Former: slices.Clone(l.former), ToleranceTerm: l.deal.tolerance}
 }
 
+// IsWriting reports whether a record is being written.
+func (l *Ledger) IsWriting() bool { return l.deal.phase == dealWriting }
+
 // Written handles the result of writing the record of a deal. After an error the record may be written later, so that the same one is
 // written again.
 func (l *Ledger) Written(now time.Time, err error) {
@@ -84,6 +97,7 @@
 
 func (l *Ledger) finishDeal(now time.Time) {
 	shares := l.deal.shares
+	l.tolerance.recorded = l.deal.tolerance
 	l.deal = deal{changedAt: l.clock.Elapsed(now)}
 	l.setRecorded(shares)
 	maps.DeleteFunc(l.entries, func(_ azuretiller.VMID, e *entry) bool {
--- a/pkg/shareledger/entry.go
+++ b/pkg/shareledger/entry.go
@@ -28,8 +28,6 @@
 	joinedAt, heardAt time.Duration
 	// leaving means that the VM gave up its share.
 	leaving bool
-	// toleranceTaken means that the leader has used the VM's part of the tolerance in this term.
-	toleranceTaken bool
 }
 
 type pledge struct {
--- a/pkg/shareledger/ledger.go
+++ b/pkg/shareledger/ledger.go
@@ -42,14 +42,15 @@
 	// leased is the sum of the shares that the leader may spend, valid until summaryUntil.
 	leased       azuretiller.RateShare
 	summaryUntil time.Duration
-	// tolerance is the sum of the shares whose part of the tolerance has not been taken yet.
-	tolerance azuretiller.RateShare
-	deal      deal
+	tolerance    tolerance
+	window       time.Duration
+	deal         deal
 }
 
 // New returns the ledger of a leader that has just claimed its term with the given record of the shares.
 func New(now time.Time, term azuretiller.Term, self azuretiller.VMID, recorded azuretiller.RateLedger) *Ledger {
 	l := &Ledger{term: term, self: self, clock: leaseclock.New(now), entries: map[azuretiller.VMID]*entry{}, majoritySince: -1}
+	l.tolerance = tolerance{recorded: recorded.ToleranceTerm, wantedAt: -1}
 	for _, f := range recorded.Former {
 		if f.VM != self {
 			l.former = append(l.former, f)
@@ -61,7 +62,11 @@
 
 // Claimed returns the record with which a VM claims a term after it has read the newest record.
 func Claimed(read azuretiller.LeaderRecord, self azuretiller.VMID) azuretiller.RateLedger {
-	claimed := azuretiller.RateLedger{Shares: maps.Clone(read.Rates.Shares), Former: slices.Clone(read.Rates.Former)}
+	claimed := azuretiller.RateLedger{
+		Shares:        maps.Clone(read.Rates.Shares),
+		Former:        slices.Clone(read.Rates.Former),
+		ToleranceTerm: read.Rates.ToleranceTerm,
+	}
 	if len(claimed.Shares) == 0 {
 		claimed.Shares = map[azuretiller.VMID]azuretiller.RateShare{self: azuretiller.WholeRate}
 	}
@@ -78,7 +83,7 @@
 
 // Recorded returns the record of the shares.
 func (l *Ledger) Recorded() azuretiller.RateLedger {
-	recorded := azuretiller.RateLedger{Shares: map[azuretiller.VMID]azuretiller.RateShare{}, Former: slices.Clone(l.former)}
+	recorded := azuretiller.RateLedger{Shares: map[azuretiller.VMID]azuretiller.RateShare{}, Former: slices.Clone(l.former), ToleranceTerm: l.tolerance.recorded}
 	for vm, e := range l.entries {
 		if e.share > 0 {
 			recorded.Shares[vm] = e.share
@@ -135,10 +140,6 @@
 	}
 	// After a restore of the store, a VM may hold more than the record says.
 	e.share = max(e.share, hb.Share)
-	if hb.ToleranceUnused && !e.toleranceTaken && e.share > 0 {
-		e.toleranceTaken = true
-		l.tolerance += e.share
-	}
 	if !wasLeased && l.isLeased(e, at) {
 		l.summaryUntil = 0
 	}
@@ -224,18 +225,11 @@
 func (l *Ledger) Confirm(now time.Time, took time.Duration, recorded azuretiller.RateLedger) {
 	l.confirmedAt = max(l.confirmedAt, l.clock.Elapsed(now)-took)
 	l.expired = false
-	if l.deal.phase == dealWriting && maps.Equal(recorded.Shares, l.deal.shares) {
+	if l.deal.phase == dealWriting && maps.Equal(recorded.Shares, l.deal.shares) && recorded.ToleranceTerm == l.deal.tolerance {
 		l.finishDeal(now)
 	}
 }
 
-// TakeTolerance returns the sum of the shares whose part of the tolerance the leader may use since the last call.
-func (l *Ledger) TakeTolerance() azuretiller.RateShare {
-	share := l.tolerance
-	l.tolerance = 0
-	return share
-}
-
 // Collecting reports whether VMs that are in contact with the leader may still pledge their shares to it for the first time.
 func (l *Ledger) Collecting(now time.Time) bool { return l.clock.Elapsed(now) < shareholder.PledgeTime }
 
--- a/pkg/shareledger/ledger_test.go
+++ b/pkg/shareledger/ledger_test.go
@@ -14,9 +14,10 @@
 )
 
 const (
-	term   azuretiller.Term = 3
-	window                  = 5 * time.Second
-	step                    = 200 * time.Millisecond
+	term azuretiller.Term = 3
+	// window is that of the tolerance for exceeding the rates.
+	window = 5 * time.Second
+	step   = 200 * time.Millisecond
 )
 
 // testFleet is a leader's ledger and the VMs that follow the leader.
@@ -40,8 +41,8 @@
 		silent: map[azuretiller.VMID]bool{}, deaf: map[azuretiller.VMID]bool{}, leaving: map[azuretiller.VMID]bool{}, confirms: true,
 	}
 	for _, vm := range vms {
-		f.holders[vm] = shareholder.New(now.Add(-time.Minute), window)
-		f.holders[vm].Follow(now, term)
+		f.holders[vm] = shareholder.New(now.Add(-time.Minute))
+		f.holders[vm].Follow(term)
 	}
 	return f
 }
@@ -140,13 +141,13 @@
 			recorded := equalShares("a", "b")
 			recorded.Former = test.former
 			f := newTestFleet(recorded, "a", "b")
-			a := shareholder.New(f.now, window)
+			a := shareholder.New(f.now)
 			if test.pledged > 0 {
-				a = shareholder.New(f.now.Add(-time.Minute), window)
-				a.Follow(f.now, test.pledged)
+				a = shareholder.New(f.now.Add(-time.Minute))
+				a.Follow(test.pledged)
 				a.Receive(f.now, message.HeartbeatResponse{Term: test.pledged, Stamp: 1, Share: azuretiller.WholeRate / 2, ShareRenewed: true})
 			}
-			a.Follow(f.now, term)
+			a.Follow(term)
 			f.holders["a"] = a
 			f.run(step)
 			if !test.waits {
@@ -199,8 +200,8 @@
 	f.run(2 * time.Second)
 	assert.Equal(t, azuretiller.WholeRate/2, f.share())
 	f.silent["a"] = false
-	f.holders["a"] = shareholder.New(f.now, window)
-	f.holders["a"].Follow(f.now, term)
+	f.holders["a"] = shareholder.New(f.now)
+	f.holders["a"].Follow(term)
 	f.exchange("a", f.holders["a"], true)
 	f.run(2 * step)
 	assert.Equal(t, azuretiller.WholeRate/2, f.share(), "an earlier process may have pledged the share to another leader")
@@ -212,8 +213,8 @@
 func TestDealAwaitsSmallerShares(t *testing.T) {
 	f := newTestFleet(equalShares("leader", "a"), "leader", "a")
 	f.run(time.Second)
-	f.holders["b"] = shareholder.New(f.now.Add(-time.Minute), window)
-	f.holders["b"].Follow(f.now, term)
+	f.holders["b"] = shareholder.New(f.now.Add(-time.Minute))
+	f.holders["b"].Follow(term)
 	f.run(dealMinAge - step)
 	f.deaf["a"] = true
 	f.run(4 * step)
@@ -271,27 +272,31 @@
 
 // TestToleranceIsUsedOncePerWindow guards against leaders that follow each other and start with tokens beyond the rates each time.
 func TestToleranceIsUsedOncePerWindow(t *testing.T) {
-	now := time.Unix(1_000_000, 0)
-	h := shareholder.New(now.Add(-time.Minute), window)
-	offers := func(term azuretiller.Term) bool {
-		h.Follow(now, term)
-		hb := message.Heartbeat{}
-		h.Fill(now, &hb)
-		return hb.ToleranceUnused
-	}
-	respond := func(term azuretiller.Term, idle bool) {
-		h.Receive(now, message.HeartbeatResponse{Term: term, Stamp: time.Second, ToleranceIdle: idle})
+	for _, test := range []struct {
+		name     string
+		recorded azuretiller.Term
+		waits    bool
+	}{{"not used lately", 0, false}, {"used by a former leader", 2, true}} {
+		t.Run(test.name, func(t *testing.T) {
+			read := azuretiller.LeaderRecord{Term: 2, VM: "former", Rates: equalShares("leader")}
+			read.Rates.ToleranceTerm = test.recorded
+			f := newTestFleet(Claimed(read, "leader"), "leader")
+			f.SetWindow(window)
+			assert.False(t, f.WantTolerance(f.now), "the record is written first")
+			f.run(step)
+			assert.Equal(t, !test.waits, f.WantTolerance(f.now))
+			f.run(window - step)
+			if test.waits {
+				assert.Empty(t, f.written)
+				f.WantTolerance(f.now)
+			}
+			f.run(2 * step)
+			require.Len(t, f.written, 1)
+			assert.Equal(t, term, f.written[0].ToleranceTerm)
+			assert.True(t, f.WantTolerance(f.now))
+			f.run(window + 2*time.Second)
+			require.Len(t, f.written, 2)
+			assert.Zero(t, f.written[1].ToleranceTerm, "not used within a window")
+		})
 	}
-	assert.False(t, offers(1), "nothing is known of earlier leaders")
-	respond(1, true)
-	assert.True(t, offers(2))
-	respond(2, true)
-	now = now.Add(window - time.Second)
-	assert.False(t, offers(3))
-	respond(3, true)
-	now = now.Add(window)
-	assert.True(t, offers(4))
-	respond(4, false)
-	now = now.Add(window)
-	assert.False(t, offers(5), "the last leader used its tolerance")
 }
--- a/pkg/tokenbucket/limiter.go
+++ b/pkg/tokenbucket/limiter.go
@@ -6,8 +6,13 @@
 	"github.com/azuretiller/azuretiller"
 )
 
-// maxWait bounds the wait that Take returns, which would be long for a team with a very low rate.
-const maxWait = 5 * time.Second
+const (
+	// maxWait bounds the wait that Take returns, which would be long for a team with a very low rate.
+	maxWait = 5 * time.Second
+	// toleranceWindows is the number of windows in which an empty bucket of the tolerance is refilled. Within one window, teams exceed their rates
+	// by a full bucket and the third part of another.
+	toleranceWindows = 3
+)
 
 // Limit is the rate of a team in millitokens per second, and its burst in millitokens.
 type Limit struct {
@@ -22,15 +27,18 @@
 // rate, as long as their shares add up to one.
 type Limiter struct {
 	share azuretiller.RateShare
-	// unspent is the share that nobody has held before, which starts with full buckets.
-	unspent azuretiller.RateShare
-	// tolerance is the part of the tolerance for exceeding the rates that TakeTolerance may spend, and toleranceTakenAt when it last did.
-	tolerance        Tolerance
-	tolerancePart    float64
-	toleranceTakenAt time.Time
-	teams            map[azuretiller.TeamID]*team
+	// unspent holds the shares that start with full buckets: of the rates if nobody has held them before, and of the tolerance if nobody has used
+	// it lately.
+	unspent Unspent
+	// tolerancePart is the part of the tolerance for exceeding the rates that TakeTolerance may spend.
+	tolerance     Tolerance
+	tolerancePart float64
+	teams         map[azuretiller.TeamID]*team
 }
 
+// Unspent holds shares of the rates and of the tolerance for exceeding them whose tokens have not been spent.
+type Unspent struct{ Rates, Tolerance azuretiller.RateShare }
+
 // team is the state of one team with a limit.
 type team struct {
 	limit Limit
@@ -38,8 +46,8 @@
 	rate, tolerance bucket
 }
 
-// New returns a Limiter that has no share and no teams yet. unspent is the share of the rates that nobody has held before.
-func New(unspent azuretiller.RateShare) *Limiter {
+// New returns a Limiter that has no share and no teams yet.
+func New(unspent Unspent) *Limiter {
 	return &Limiter{unspent: unspent, teams: map[azuretiller.TeamID]*team{}}
 }
 
@@ -82,22 +90,17 @@
 	l.share = share
 }
 
-// startUnspent fills the buckets for a share that was added, as far as nobody has held it before.
+// startUnspent fills the buckets for a share that was added, as far as its tokens have not been spent.
 func (l *Limiter) startUnspent(added azuretiller.RateShare) {
 	if len(l.teams) == 0 {
 		return
 	}
-	filled := max(min(added, l.unspent), 0)
-	l.unspent -= filled
+	rates, tolerance := max(min(added, l.unspent.Rates), 0), max(min(added, l.unspent.Tolerance), 0)
+	l.unspent.Rates -= rates
+	l.unspent.Tolerance -= tolerance
 	for _, t := range l.teams {
-		t.rate.tokens += filled.Of(float64(t.limit.Burst))
-	}
-}
-
-// AddTolerance adds the tokens for exceeding the rates of a share whose tolerance has not been used lately.
-func (l *Limiter) AddTolerance(share azuretiller.RateShare) {
-	for _, t := range l.teams {
-		t.tolerance.tokens += share.Of(l.toleranceOf(t))
+		t.rate.tokens += rates.Of(float64(t.limit.Burst))
+		t.tolerance.tokens += tolerance.Of(l.toleranceOf(t))
 	}
 }
 
@@ -143,16 +146,7 @@
 		return true
 	}
 	l.refill(now, t)
-	if !t.tolerance.take() {
-		return false
-	}
-	l.toleranceTakenAt = now
-	return true
-}
-
-// IsToleranceIdle reports whether TakeTolerance took no token within the last window of the tolerance.
-func (l *Limiter) IsToleranceIdle(now time.Time) bool {
-	return l.toleranceTakenAt.IsZero() || now.Sub(l.toleranceTakenAt) >= l.tolerance.Window
+	return t.tolerance.take()
 }
 
 // Refund puts back the token of a request that was refused after Take.
@@ -169,7 +163,7 @@
 		return
 	}
 	tolerance := l.share.Of(l.toleranceOf(t))
-	t.tolerance.refill(now, tolerance/l.tolerance.Window.Seconds(), tolerance)
+	t.tolerance.refill(now, tolerance/(toleranceWindows*l.tolerance.Window.Seconds()), tolerance)
 }
 
 // toleranceOf returns the millitokens for exceeding the rate of a team within a window.
--- a/pkg/tokenbucket/limiter_test.go
+++ b/pkg/tokenbucket/limiter_test.go
@@ -12,7 +12,7 @@
 
 // newLimiter returns a limiter that spends the whole rates, with one team.
 func newLimiter(now time.Time, limit Limit) *Limiter {
-	limiter := New(0)
+	limiter := New(Unspent{})
 	limiter.SetLimits(now, map[azuretiller.TeamID]Limit{"a": limit})
 	limiter.SetShare(now, azuretiller.WholeRate)
 	return limiter
@@ -83,7 +83,7 @@
 		now := time.Unix(0, 0)
 		var limiters []*Limiter
 		for range count {
-			limiter := New(0)
+			limiter := New(Unspent{})
 			limiter.SetLimits(now, map[azuretiller.TeamID]Limit{"a": limit})
 			limiters = append(limiters, limiter)
 		}
--- a/rate_ledger.go
+++ b/rate_ledger.go
@@ -7,6 +7,8 @@
 	Shares map[VMID]RateShare
 	// Former are the leaders of earlier terms that may not have stopped yet.
 	Former []FormerLeader
+	// ToleranceTerm is the term whose leader may have used the tolerance for exceeding the rates within the last window, or 0.
+	ToleranceTerm Term
 }
 
 // FormerLeader is the VM that led in an earlier term.
