Take only answers to heartbeats for contact with the leader

Cause: while nothing passes from a zone to the zone of the leader, the leader drops the VMs of that zone and sends each of them a message once a second. They counted it as the answer to a heartbeat, so that they believed themselves in contact: they neither read the store nor replaced the servers of their view, and the VMs of the zone could only ask each other for the configuration.

Change: only a response with a stamp, which is sent for a heartbeat alone, counts.

--- a/pkg/member/receive.go
+++ b/pkg/member/receive.go
@@ -80,7 +80,11 @@
 	if response.Term < m.term || !response.IsLeader || from != m.leaderAddress {
 		return effects
 	}
-	m.leaderAnsweredAt, m.viewConfirmedAt = now, now
+	// The leader also sends messages on its own, to VMs from which it receives nothing. They do not show that it hears this VM.
+	answered := response.Stamp > 0
+	if answered {
+		m.leaderAnsweredAt, m.viewConfirmedAt = now, now
+	}
 	// The leader may spend the share of this VM only when it knows that this VM received a stamp.
 	heartbeatDue := m.holder.Receive(now, response)
 	if response.StaticFieldsKnown != m.knownToLeader {
@@ -90,7 +94,7 @@
 	if heartbeatDue {
 		effects = append(effects, m.sendHeartbeat(now)...)
 	}
-	if m.state != accessingRecord && !response.LeaderResigned {
+	if answered && m.state != accessingRecord && !response.LeaderResigned {
 		m.state = following
 	}
 	electionRequested := response.LeaderResigned && !m.leaderResigned && !m.leading
