Let VMs that lack an announced configuration read it from the store

Cause: the VMs of a zone fetch a configuration from one of them. If that VM does not answer, as it is cut off, each fetch takes 1.2 s until it counts as failed, and the next one goes to the leader after another 0.4 s; the VM from which the fetch then times out may be lost too. The source was the VM with the lowest address, most often a small one with a slow link, which 70 to 80 others ask at the same time.

Change: a VM that has lacked an announced configuration for 0.6 s reads the settings from the store, which each VM in contact can reach. The source of a zone is its ready VM with the most CPU capacity.

--- a/pkg/edge/edge_test.go
+++ b/pkg/edge/edge_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -166,10 +165,7 @@
 	}))
 	t.Cleanup(member.Close)
 	e := newTestEdge(nil)
-	conn, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = conn.Close() })
-	e.socket = datagram.New(conn, 1, func(datagram.Incoming) {})
+	openSocket(t, e)
 	require.True(t, e.setConfig([]byte(`{"version":"r3","resources":[]}`), "store"))
 	e.reads.advertisedRevision, e.reads.advertisedBy = 5, "127.0.0.1:9"
 	e.becomeLeader(1, azuretiller.RateLedger{})
--- a/pkg/edge/reads.go
+++ b/pkg/edge/reads.go
@@ -28,6 +28,9 @@
 	maxReadGap = 5 * time.Second
 	// leaderlessReadInterval is the time between the reads of a VM that cannot reach the leader.
 	leaderlessReadInterval = 900 * time.Millisecond
+	// behindReadAfter is the time for which a VM may lack an announced configuration before it reads the store itself. A fetch from another VM
+	// that works takes less.
+	behindReadAfter = 600 * time.Millisecond
 	// leaderlessReadAfter is the time without contact with the leader after which a VM reads from the store itself.
 	leaderlessReadAfter = time.Second
 	// readRetryInterval is the time from a failed read of the operators' settings to the next one.
@@ -77,6 +80,8 @@
 	advertisedRevision uint64
 	advertisedAt       time.Time
 	advertisedBy       string
+	// behindSince is when this VM began to lack the announced revision, and zero while it has it.
+	behindSince time.Time
 	// zoneFetchFailed means that the configuration source of the zone (see Member.ConfigSource) did not return the announced revision in
 	// time, so that the leader is asked next.
 	zoneFetchFailed bool
@@ -106,11 +111,14 @@
 	err  error
 }
 
-// startReads starts the reads that are due: the leader reads for all VMs, and a VM that cannot reach the leader reads for itself.
+// startReads starts the reads that are due: the leader reads for all VMs, a VM that cannot reach the leader reads for itself, and one that does
+// not get an announced configuration from others reads the settings.
 func (e *Edge) startReads(ctx context.Context, now time.Time) {
-	wait, interval := e.settingsWait(), serversReadInterval
+	wait, interval, readsServers := e.settingsWait(), serversReadInterval, true
+	behind := e.isBehind(now)
 	if e.leader == nil {
-		if e.member.LeaderUnreachableFor(now) < leaderlessReadAfter {
+		readsServers = e.member.LeaderUnreachableFor(now) >= leaderlessReadAfter
+		if !readsServers && !behind {
 			return
 		}
 		wait, interval = 0, leaderlessReadInterval
@@ -135,7 +143,7 @@
 			e.deliver(ctx, settingsResult{page, err})
 		}()
 	}
-	if !e.reads.serversPending && !now.Before(e.reads.nextServersRead) {
+	if readsServers && !e.reads.serversPending && !now.Before(e.reads.nextServersRead) {
 		e.reads.serversPending = true
 		e.reads.serversReadStarted = now
 		e.reads.nextServersRead = now.Add(interval)
@@ -147,6 +155,17 @@
 	}
 }
 
+// isBehind reports whether this VM has lacked the announced configuration for behindReadAfter.
+func (e *Edge) isBehind(now time.Time) bool {
+	switch {
+	case e.reads.advertisedRevision <= e.revision():
+		e.reads.behindSince = time.Time{}
+	case e.reads.behindSince.IsZero():
+		e.reads.behindSince = now
+	}
+	return !e.reads.behindSince.IsZero() && now.Sub(e.reads.behindSince) >= behindReadAfter
+}
+
 // lastRegistryRead returns the time at which both the servers and the operators' settings had been read last, or zero if one of them has not
 // been read. Servers without the settings could be in a zone that is out of service.
 func (r *readState) lastRegistryRead() time.Time {
--- a/pkg/member/view.go
+++ b/pkg/member/view.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -95,20 +96,28 @@
 	return effects
 }
 
-// ConfigSource returns the host:port of the VM that the others of the zone ask first for a configuration: one that is ready, if there is
-// any. It is empty for that VM itself.
+// ConfigSource returns the host:port of the VM that the others of the zone ask first for a configuration: a ready one, if there is any, with the
+// most CPU capacity, as many VMs ask it at the same time. It is empty for that VM itself.
 func (m *Member) ConfigSource() string {
-	source, sourceReady := m.self.PeerAddress, m.ready && !m.leaving
+	source := message.Member{Peer: m.self.PeerAddress, Ready: m.ready && !m.leaving, Power: m.self.CPUPercent}
 	for _, other := range m.view.Members {
-		if other.Zone != m.self.Zone || other.Peer == m.self.PeerAddress || sourceReady && !other.Ready {
-			continue
-		}
-		if other.Ready != sourceReady || other.Peer < source {
-			source, sourceReady = other.Peer, other.Ready
+		if other.Zone == m.self.Zone && other.Peer != m.self.PeerAddress && compareSources(other, source) < 0 {
+			source = other
 		}
 	}
-	if source == m.self.PeerAddress {
+	if source.Peer == m.self.PeerAddress {
 		return ""
 	}
-	return source
+	return source.Peer
+}
+
+// compareSources orders VMs by how well they are suited as the configuration source of their zone, the best first.
+func compareSources(a, b message.Member) int {
+	if a.Ready != b.Ready {
+		if a.Ready {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Or(cmp.Compare(b.Power, a.Power), cmp.Compare(a.Peer, b.Peer))
 }
--- a/pkg/member/view_test.go
+++ b/pkg/member/view_test.go
@@ -72,3 +72,24 @@
 		})
 	}
 }
+
+// TestConfigSourceIsStrongestVM guards against configurations that reach a zone late because all its VMs fetch them from a VM with little CPU
+// capacity and a slow link.
+func TestConfigSourceIsStrongestVM(t *testing.T) {
+	now := time.Unix(1, 0)
+	members := []message.Member{
+		{VM: "weak", Zone: "z", Peer: "10.0.0.1:1", Ready: true, Power: 16},
+		{VM: "strong", Zone: "z", Peer: "10.0.0.2:1", Ready: true, Power: 80},
+		{VM: "strongest", Zone: "z", Peer: "10.0.0.3:1", Power: 320},
+	}
+	for peer, want := range map[string]string{"10.0.0.1:1": "10.0.0.2:1", "10.0.0.2:1": ""} {
+		power := 16
+		if want == "" {
+			power = 80
+		}
+		m := New(now, azuretiller.VM{ID: "vm", Zone: "z", PeerAddress: peer, CPUPercent: power}, nil)
+		m.SetReady(true, 1)
+		m.Receive(now, "10.0.0.9:1", 0, message.View{Term: 1, Version: 1, Parts: 1, Members: members})
+		assert.Equal(t, want, m.ConfigSource(), "from %s", peer)
+	}
+}
