Close connections on which the body of a refused upload does not arrive in time

Cause: a refusal that is sent before the body has been read keeps the connection if little of the body is left, and the VM reads the rest for 2 s at most. It ignored that this read failed; net/http then took the rest of the body, when it arrived, for the next request.

Change: unless the whole rest has arrived, the connection is closed. The response has been flushed by then. All refusals (404, 413, 503, timeouts, stopping VMs) take this path; early responses of servers and bodies of unknown size close the connection anyway. TestLateBodyOfRefusedRequestIsNoRequest failed before (a second response was sent).

--- a/pkg/gateway/body.go
+++ b/pkg/gateway/body.go
@@ -86,7 +86,8 @@
 func (b *body) interrupt() { b.setReadDeadline(b.now()) }
 
 // close ends reads from the caller. If the connection is to be used again, it reads the rest of the body; net/http must not, since in
-// full-duplex mode it would then read from the connection twice at the same time.
+// full-duplex mode it would then read from the connection twice at the same time. It panics with http.ErrAbortHandler, which closes the
+// connection, if the rest does not arrive in time.
 func (b *body) close() {
 	b.data.Stop(b.interrupt)
 	if b.data.Ended() {
@@ -95,7 +96,10 @@
 	b.setReadDeadline(b.now().Add(unreadBodyTimeout))
 	if b.keepConnection {
 		_ = b.controller.Flush()
-		_, _ = io.CopyN(io.Discard, b.source, maxUnreadBody)
+		if _, err := io.CopyN(io.Discard, b.source, maxUnreadBody); !errors.Is(err, io.EOF) {
+			// Otherwise net/http would read what is left of the body as the next request.
+			panic(http.ErrAbortHandler)
+		}
 	}
 }
 
--- a/pkg/gateway/upload_test.go
+++ b/pkg/gateway/upload_test.go
@@ -304,6 +304,25 @@
 	})
 }
 
+// TestLateBodyOfRefusedRequestIsNoRequest guards against callers that get the response to another request: the body of a refused upload arrives
+// after the VM stopped waiting for it, and looks like a request.
+func TestLateBodyOfRefusedRequestIsNoRequest(t *testing.T) {
+	for _, arrived := range []int{0, 10} {
+		synctest.Test(t, func(t *testing.T) {
+			u := startUpload(t, 1)
+			body := "POST /orders/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"
+			u.sendHead(t, "/unknown/1", fmt.Sprintf("Content-Length: %d\r\n", len(body)))
+			assert.Equal(t, 404, u.receive(t).status)
+			u.send(t, body[:arrived])
+			time.Sleep(unreadBodyTimeout + time.Second)
+			go func() { _, _ = io.WriteString(u.caller, body[arrived:]+body) }()
+			_, err := u.reader.ReadByte()
+			assert.ErrorIs(t, err, io.EOF, "%d bytes arrived in time", arrived)
+			assert.Empty(t, u.attempts)
+		})
+	}
+}
+
 // TestContinueIsSentBeforeBody checks that a caller that waits for permission to send its body gets it.
 func TestContinueIsSentBeforeBody(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
