Let strong VMs relay views and succeed the leader of a large fleet

VMs rank themselves for elections by their view; two VMs with 0.16 of a core became leaders in a row at 4.1 and 5.1 s, could not answer 444 VMs, and were lost by all of them. For 2.7 s nobody read servers and configurations for the fleet.

Change: the relay of a zone is its strongest VM that has the view; a relay sends its full view again, at most once a second, when four VMs of its zone or more lack it; answers to heartbeats carry the number of stronger VMs, which bounds the rank of the recipient from below.

--- a/pkg/fleetwire/codec.go
+++ b/pkg/fleetwire/codec.go
@@ -45,6 +45,7 @@
 			Share:    uint32(b.Share),
 			Renewed:  b.ShareRenewed,
 			Offset:   uint32(b.ShareOffset),
+			Stronger: uint32(b.StrongerVMs),
 		}}
 	case message.VoteRequest:
 		d.Body = &fleetpb.Datagram_Poll{Poll: &fleetpb.Poll{Term: uint64(b.Term)}}
@@ -115,6 +116,7 @@
 			Share:             azuretiller.RateShare(b.BeatAnswer.GetShare()),
 			ShareRenewed:      b.BeatAnswer.GetRenewed(),
 			ShareOffset:       azuretiller.RateShare(b.BeatAnswer.GetOffset()),
+			StrongerVMs:       int(b.BeatAnswer.GetStronger()),
 		}
 	case *fleetpb.Datagram_Poll:
 		e.Body = message.VoteRequest{Term: azuretiller.Term(b.Poll.GetTerm())}
--- a/pkg/fleetwire/codec_test.go
+++ b/pkg/fleetwire/codec_test.go
@@ -19,7 +19,7 @@
 		message.Heartbeat{VM: "v", Incarnation: 1, Zone: "z", CallerAddress: "c", ResolveAddress: "a", Ready: true, Leaving: true, CPUPercent: 32, Term: 2, ViewVersion: 3, ConfigRevision: 4,
 			SentAt: 5 * time.Second, Stamp: 6 * time.Millisecond, Share: 7, Pledges: []message.Pledge{{Term: 1, Remaining: time.Second}}},
 		message.HeartbeatResponse{Term: 1, IsLeader: true, Leader: "l", LeaderAddress: "a", ConfigRevision: 5, LeaderResigned: true, StaticFieldsKnown: true,
-			Stamp: time.Second, SentAt: 2 * time.Second, Share: 3, ShareRenewed: true, ShareOffset: 4},
+			Stamp: time.Second, SentAt: 2 * time.Second, Share: 3, ShareRenewed: true, ShareOffset: 4, StrongerVMs: 5},
 		message.HandOver{Term: 3, Tokens: map[azuretiller.TeamID]azuretiller.Millitokens{"t": 1500}},
 		message.VoteRequest{Term: 7},
 		message.Vote{Term: 7, LeaderReachable: true, Leader: "l", LeaderAddress: "a", Share: 8},
--- a/pkg/leader/leader.go
+++ b/pkg/leader/leader.go
@@ -36,6 +36,9 @@
 	// lost maps the host:port of each VM that stopped sending heartbeats to the time at which it was found missing. It also holds
 	// the VMs known from earlier terms that have not joined this leader.
 	lost map[string]time.Time
+	// capacities holds the CPU capacities of the VMs that could succeed this leader as of capacitiesAt, the smallest first.
+	capacities   []int
+	capacitiesAt time.Time
 	// lostContactedAt is when the lost VMs were last sent a message.
 	lostContactedAt time.Time
 	// peakMembers is the largest number of members since peakAt, when it was last reached. It is reset after peakWindow.
@@ -70,6 +73,8 @@
 	viewVersion uint64
 	viewChanged bool
 	viewSentAt  time.Time
+	// zonesRefreshedAt is when refreshZones last looked for VMs that lack the newest views.
+	zonesRefreshedAt time.Time
 	// recentViews are the views sent within viewResendInterval and the one before them, oldest first.
 	recentViews []viewSending
 	// resendTokens is a token bucket for resending full views, as of resendRefilledAt. A token is one view entry.
@@ -279,5 +284,5 @@
 		l.viewChanged = false
 		effects = append(effects, l.sendView(now)...)
 	}
-	return effects
+	return append(effects, l.refreshZones(now)...)
 }
--- a/pkg/leader/members.go
+++ b/pkg/leader/members.go
@@ -1,6 +1,7 @@
 package leader
 
 import (
+	"slices"
 	"time"
 
 	"github.com/apex/log"
@@ -25,6 +26,22 @@
 	return own > 0 && strongest >= handoverCPURatio*own
 }
 
+// strongerVMs returns the number of VMs that could succeed this leader and have more than the given CPU capacity. VMs rank themselves by it, as
+// their views of a large fleet may lack most of it.
+func (l *Leader) strongerVMs(now time.Time, cpuPercent int) int {
+	if l.capacities == nil || now.Sub(l.capacitiesAt) >= capacitiesInterval {
+		l.capacities, l.capacitiesAt = l.capacities[:0], now
+		for _, m := range l.members {
+			if m.heartbeat.VM != l.self && m.heartbeat.Ready && !m.heartbeat.Leaving {
+				l.capacities = append(l.capacities, m.heartbeat.CPUPercent)
+			}
+		}
+		slices.Sort(l.capacities)
+	}
+	first, _ := slices.BinarySearch(l.capacities, cpuPercent+1)
+	return len(l.capacities) - first
+}
+
 // Announce sends all members the term, the revision of the configuration and whether this leader resigned.
 func (l *Leader) Announce() []Effect {
 	response := l.heartbeatResponse(true)
@@ -77,6 +94,7 @@
 	response := l.heartbeatResponse(true)
 	l.ledger.Receive(now, hb.VM, hb, restarted)
 	l.ledger.Respond(now, hb.VM, hb, &response)
+	response.StrongerVMs = l.strongerVMs(now, hb.CPUPercent)
 	effects = append(effects, Send{To: from, Message: message.Envelope{Call: call, Body: response}})
 	if l.needsFullView(now, m) && l.takeResendTokens(now) {
 		m.fullViewSentAt = now
--- a/pkg/leader/params.go
+++ b/pkg/leader/params.go
@@ -20,6 +20,8 @@
 	heartbeatTimeout = 1300 * time.Millisecond
 	// handoverCPURatio is the least ratio of another VM's CPU capacity to the leader's at which the leader hands over.
 	handoverCPURatio = 2
+	// capacitiesInterval is how long the list of the VMs' CPU capacities is used.
+	capacitiesInterval = 200 * time.Millisecond
 	// handoverMinAge is how long a VM must have been a member before the leader hands over to it: three heartbeats.
 	handoverMinAge = time.Second
 	// viewMinInterval is the least time between two views to all VMs.
@@ -27,6 +29,10 @@
 	// viewResendInterval is the time within which a view reaches a VM and is reported by its next heartbeat. After that, the full view
 	// is sent to the VM.
 	viewResendInterval = 400 * time.Millisecond
+	// zoneRefreshInterval is the time between two full views that a relay sends to its zone, and zoneRefreshMin the number of VMs there from
+	// which it does so.
+	zoneRefreshInterval = time.Second
+	zoneRefreshMin      = 4
 	// maxRelaySilence is the time without a heartbeat after which another VM relays views: a heartbeat is missing.
 	maxRelaySilence = 450 * time.Millisecond
 	// lostContactInterval is the time between two messages to each lost VM. The VM learns of this leader or answers with a newer
--- a/pkg/leader/view.go
+++ b/pkg/leader/view.go
@@ -36,13 +36,38 @@
 	return effects
 }
 
+// refreshZones lets the relays of zones in which several VMs lack the newest views send their full view to the zone. Sending it to each of these
+// VMs takes the leader of a large fleet many seconds, see takeResendTokens.
+func (l *Leader) refreshZones(now time.Time) []Effect {
+	if now.Sub(l.zonesRefreshedAt) < zoneRefreshInterval {
+		return nil
+	}
+	l.zonesRefreshedAt = now
+	settled := l.settledViewVersion(now)
+	behind := map[azuretiller.Zone]int{}
+	for _, m := range l.members {
+		if m.heartbeat.ViewVersion < settled {
+			behind[m.heartbeat.Zone]++
+		}
+	}
+	var effects []Effect
+	for zone, relay := range l.relays(now) {
+		if behind[zone] >= zoneRefreshMin {
+			effects = append(effects, sendViewParts(relay, message.View{Term: l.term, Version: l.viewVersion, Base: l.viewVersion, Relay: true})...)
+		}
+	}
+	return effects
+}
+
 // relays returns the VM of each zone that relays views. VMs that are leaving, whose last heartbeat is old, or that lack the newest views
-// come last, since they may be about to stop or unable to reach their zone.
+// come last, since they may be about to stop or unable to reach their zone. The others rank by their CPU capacity, which their links match: a
+// complete view for a zone of a large fleet is megabytes.
 func (l *Leader) relays(now time.Time) map[azuretiller.Zone]string {
 	relays := map[azuretiller.Zone]string{}
+	settled := l.settledViewVersion(now)
 	for peer, m := range l.members {
 		zone := m.heartbeat.Zone
-		if chosen, ok := relays[zone]; !ok || l.compareRelays(now, peer, chosen) < 0 {
+		if chosen, ok := relays[zone]; !ok || l.compareRelays(now, settled, peer, chosen) < 0 {
 			relays[zone] = peer
 		}
 	}
@@ -50,9 +75,12 @@
 }
 
 // compareRelays orders members by how well they are suited as a relay, the best first.
-func (l *Leader) compareRelays(now time.Time, a, b string) int {
+func (l *Leader) compareRelays(now time.Time, settled uint64, a, b string) int {
 	unsuited := func(m *member) int {
 		if m.heartbeat.Leaving || !m.heartbeat.Ready || now.Sub(m.heartbeatAt) > maxRelaySilence {
+			return 2
+		}
+		if m.heartbeat.ViewVersion < settled {
 			return 1
 		}
 		return 0
@@ -60,6 +88,7 @@
 	ma, mb := l.members[a], l.members[b]
 	return cmp.Or(
 		cmp.Compare(unsuited(ma), unsuited(mb)),
+		cmp.Compare(mb.heartbeat.CPUPercent, ma.heartbeat.CPUPercent),
 		cmp.Compare(mb.heartbeat.ViewVersion, ma.heartbeat.ViewVersion),
 		cmp.Compare(a, b),
 	)
--- a/pkg/leader/view_test.go
+++ b/pkg/leader/view_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/azuretiller/azuretiller"
 	"github.com/azuretiller/azuretiller/pkg/message"
+	"github.com/azuretiller/azuretiller/pkg/scheduler"
 )
 
 // viewFleet is a leader and the VMs that send heartbeats to it, in virtual time.
@@ -169,3 +170,57 @@
 	assert.NotContains(t, relays, outdated)
 	assert.Equal(t, 1, f.leader.membersBehind(f.now))
 }
+
+// TestRelayIsStrongestVMOfZone guards against views that most VMs of a large zone miss, since a VM with a slow link relays them.
+func TestRelayIsStrongestVMOfZone(t *testing.T) {
+	l := newLeader()
+	now := start()
+	l.SetServers(now, map[azuretiller.ServiceID][]scheduler.Server{"s": newServers("s", 2)})
+	for peer, hb := range map[string]message.Heartbeat{
+		"10.0.0.1:1": {VM: "weak", CPUPercent: 16, Ready: true},
+		"10.0.0.2:1": {VM: "strong", CPUPercent: 80, Ready: true},
+		"10.0.0.3:1": {VM: "strongest, but not ready", CPUPercent: 320},
+	} {
+		hb.Zone, hb.Incarnation = "z", 1
+		l.Receive(now, peer, message.Envelope{Body: hb})
+	}
+	assert.Equal(t, map[azuretiller.Zone]string{"z": "10.0.0.2:1"}, l.relays(now))
+	now = now.Add(capacitiesInterval)
+	assert.Equal(t, 1, l.strongerVMs(now, 16))
+	assert.Equal(t, 0, l.strongerVMs(now, 80))
+}
+
+// TestZoneThatLacksViewsIsRefreshedByRelay guards against VMs of a large fleet that lack the view for many seconds, since only the leader sends it
+// again: they do not know the other VMs and the servers when the leader is lost.
+func TestZoneThatLacksViewsIsRefreshedByRelay(t *testing.T) {
+	l := newLeader()
+	now := start()
+	l.SetServers(now, map[azuretiller.ServiceID][]scheduler.Server{"s": numberedServers(3000)})
+	const zoneSize = 80
+	requests := func(seconds int, behind int) map[string]int {
+		list := map[string]int{}
+		for range seconds * 10 {
+			now = now.Add(100 * time.Millisecond)
+			for i := range zoneSize {
+				version := l.viewVersion
+				if i < behind {
+					version = 0
+				}
+				l.Receive(now, fmt.Sprint("10.0.0.", i, ":1"), message.Envelope{Body: message.Heartbeat{
+					VM: azuretiller.VMID(fmt.Sprint("vm-", i)), Zone: "z", Ready: true, Term: 1, ViewVersion: version, CPUPercent: i + 1,
+				}})
+			}
+			for _, e := range l.Tick(now) {
+				if s, ok := e.(Send); ok {
+					if v, ok := s.Message.Body.(message.View); ok && v.Base == v.Version {
+						list[s.To]++
+					}
+				}
+			}
+		}
+		return list
+	}
+	requests(1, 0)
+	assert.Equal(t, map[string]int{"10.0.0.79:1": 5}, requests(5, zoneSize-10), "many VMs lack the view")
+	assert.Empty(t, requests(5, zoneRefreshMin-1), "few VMs lack the view")
+}
--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -63,6 +63,8 @@
 	// knownToLeader means that the leader knows the properties of this VM that do not change while it runs. Heartbeats then omit
 	// them.
 	knownToLeader bool
+	// strongerVMs is how many VMs that could lead have more CPU capacity than this one, by the last answer of a leader.
+	strongerVMs int
 	// heartbeatSenders maps the host:port of each VM that sends heartbeats to this one, although it does not lead, to the time of
 	// the last one.
 	heartbeatSenders map[string]time.Time
--- a/pkg/member/receive.go
+++ b/pkg/member/receive.go
@@ -84,6 +84,7 @@
 	answered := response.Stamp > 0
 	if answered {
 		m.leaderAnsweredAt, m.viewConfirmedAt = now, now
+		m.strongerVMs = response.StrongerVMs
 	}
 	// The leader may spend the share of this VM only when it knows that this VM received a stamp.
 	heartbeatDue := m.holder.Receive(now, response)
--- a/pkg/member/view.go
+++ b/pkg/member/view.go
@@ -50,6 +50,12 @@
 // receiveView collects the parts of a newer view or change. When it is complete, receiveView relays it if the leader asked for that, and
 // applies it. A change to a version that this VM does not have is relayed but not applied.
 func (m *Member) receiveView(now time.Time, v message.View) []Effect {
+	if v.Base != 0 && v.Base == v.Version {
+		if v.Relay && v.Term == m.view.Term && v.Version == m.view.Version {
+			return m.relayView(m.view)
+		}
+		return nil
+	}
 	if v.Term < m.view.Term || v.Term == m.view.Term && v.Version <= m.view.Version {
 		return nil
 	}
--- a/pkg/member/view_test.go
+++ b/pkg/member/view_test.go
@@ -93,3 +93,24 @@
 		assert.Equal(t, want, m.ConfigSource(), "from %s", peer)
 	}
 }
+
+// TestRelaySendsFullViewAgain guards against a relay that ignores the request to send the view, since it has that version itself.
+func TestRelaySendsFullViewAgain(t *testing.T) {
+	now := time.Unix(1, 0)
+	m := New(now, azuretiller.VM{ID: "relay", Zone: "z", PeerAddress: "10.0.0.1:1"}, nil)
+	view := message.View{Term: 1, Version: 3, Parts: 1, Members: []message.Member{
+		{VM: "other", Zone: "y", Peer: "10.0.0.2:1", Ready: true},
+		{VM: "relay", Zone: "z", Peer: "10.0.0.1:1", Ready: true},
+		{VM: "vm", Zone: "z", Peer: "10.0.0.3:1", Ready: true},
+	}, Servers: []message.Server{{ID: "s"}}}
+	m.Receive(now, "10.0.0.9:1", 0, view)
+	for version, want := range map[uint64][]Effect{
+		2: nil,
+		3: {Send{To: "10.0.0.3:1", Message: message.Envelope{Body: view}}},
+		4: nil,
+	} {
+		got := m.Receive(now, "10.0.0.9:1", 0, message.View{Term: 1, Version: version, Base: version, Parts: 1, Relay: true})
+		assert.Equal(t, want, got, "version %d", version)
+	}
+	assert.Equal(t, uint64(3), m.View().Version)
+}
--- a/pkg/message/message.go
+++ b/pkg/message/message.go
@@ -72,6 +72,8 @@
 	ShareRenewed bool
 	// ShareOffset is the sum of the shares of the VMs before this one in the order of their ids.
 	ShareOffset azuretiller.RateShare
+	// StrongerVMs is the number of VMs that could lead and have more CPU capacity than the recipient.
+	StrongerVMs int
 }
 
 // HandOver passes the unspent tokens of the teams' rates from a leader that has stopped to its successor.
@@ -176,7 +178,7 @@
 	Part  int
 	Parts int
 	// Base is the version that this view changes, or 0 for a full view. The entries of the base version that are neither
-	// listed nor removed are unchanged.
+	// listed nor removed are unchanged. If it is Version, the receiving VM is asked to relay the full view of this version.
 	Base           uint64
 	RemovedMembers []azuretiller.VMID
 	RemovedServers []azuretiller.InstanceID
