Keep handed-over tokens until the VMs of the former leader have joined its successor

Cause: the tokens that a stopped leader hands over arrive before the shares of its VMs. The next refill dropped them as exceeding the capacity for the small share. The tolerance of the new term hid this unless the former leader had used it within the window.

Change: for a second after the hand-over, tokens may exceed the capacity, but do not grow beyond it; no more than the burst is accepted. TestHandedOverTokensOutlastSmallShare failed before (1 token left instead of 20).

--- a/pkg/leader/rates.go
+++ b/pkg/leader/rates.go
@@ -62,7 +62,7 @@
 	}
 	l.handedOver[h.Term] = true
 	l.updateShare(now)
-	l.limiter.AddTokens(h.Tokens)
+	l.limiter.AddTokens(now, h.Tokens)
 	return []Effect{LogLine{"tokens handed over", log.Fields{"from": h.Term, "teams": len(h.Tokens), "term": l.term}}}
 }
 
--- a/pkg/tokenbucket/limiter.go
+++ b/pkg/tokenbucket/limiter.go
@@ -12,6 +12,8 @@
 	// toleranceWindows is the number of windows in which an empty bucket of the tolerance is refilled. Within one window, teams exceed their rates
 	// by a full bucket and the third part of another.
 	toleranceWindows = 3
+	// keepTime is how long the VMs of a former leader take at most to join its successor.
+	keepTime = time.Second
 )
 
 // Limit is the rate of a team in millitokens per second, and its burst in millitokens.
@@ -33,7 +35,9 @@
 	// tolerancePart is the part of the tolerance for exceeding the rates that TakeTolerance may spend.
 	tolerance     Tolerance
 	tolerancePart float64
-	teams         map[azuretiller.TeamID]*team
+	// keptUntil is until when tokens of another limiter may exceed the capacity.
+	keptUntil time.Time
+	teams     map[azuretiller.TeamID]*team
 }
 
 // Unspent holds shares of the rates and of the tolerance for exceeding them whose tokens have not been spent.
@@ -114,10 +118,13 @@
 	return tokens
 }
 
-// AddTokens adds tokens that another limiter left unspent.
-func (l *Limiter) AddTokens(tokens map[azuretiller.TeamID]azuretiller.Millitokens) {
+// AddTokens adds tokens that another limiter left unspent. For keepTime they may exceed the capacity for the share, since the share of the other
+// limiter follows them.
+func (l *Limiter) AddTokens(now time.Time, tokens map[azuretiller.TeamID]azuretiller.Millitokens) {
+	l.keptUntil = now.Add(keepTime)
 	for id, t := range l.teams {
-		t.rate.tokens += float64(tokens[id])
+		l.refill(now, t)
+		t.rate.tokens += min(float64(tokens[id]), float64(t.limit.Burst))
 	}
 }
 
@@ -158,7 +165,11 @@
 
 // refill adds the tokens since the last refill, and drops those that exceed the part of the buckets that belongs to the share.
 func (l *Limiter) refill(now time.Time, t *team) {
-	t.rate.refill(now, l.share.Of(float64(t.limit.Rate)), l.capacity(float64(t.limit.Burst)))
+	capacity := l.capacity(float64(t.limit.Burst))
+	if now.Before(l.keptUntil) {
+		capacity = max(capacity, t.rate.tokens)
+	}
+	t.rate.refill(now, l.share.Of(float64(t.limit.Rate)), capacity)
 	if l.tolerance.Window <= 0 {
 		return
 	}
--- a/pkg/tokenbucket/limiter_test.go
+++ b/pkg/tokenbucket/limiter_test.go
@@ -138,3 +138,41 @@
 	}
 	assert.Equal(t, 5, taken)
 }
+
+// TestHandedOverTokensOutlastSmallShare guards against requests within their team's rate that are refused after a hand-over: the tokens of the
+// former leader arrive before the shares of its VMs, and must not be dropped as exceeding the capacity of a small share. They do not add to the
+// burst, and a share that stays small keeps them for a short time only.
+func TestHandedOverTokensOutlastSmallShare(t *testing.T) {
+	limit := Limit{Rate: 10 * azuretiller.TokenCost, Burst: 20 * azuretiller.TokenCost}
+	for _, test := range []struct {
+		name      string
+		joinAfter time.Duration
+		handed    azuretiller.Millitokens
+		want      int
+	}{
+		{"the VMs join soon", 500 * time.Millisecond, 20 * azuretiller.TokenCost, 20},
+		{"few tokens", 500 * time.Millisecond, 3 * azuretiller.TokenCost, 3},
+		{"more than the burst", 500 * time.Millisecond, 900 * azuretiller.TokenCost, 20},
+		{"the VMs join late", 10 * time.Second, 20 * azuretiller.TokenCost, 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			now := time.Unix(0, 0)
+			limiter := New(Unspent{})
+			limiter.SetLimits(now, map[azuretiller.TeamID]Limit{"a": limit})
+			limiter.SetShare(now, azuretiller.WholeRate/40)
+			limiter.AddTokens(now, map[azuretiller.TeamID]azuretiller.Millitokens{"a": test.handed})
+			for range 2 {
+				now = now.Add(test.joinAfter / 2)
+				limiter.Tokens(now)
+			}
+			limiter.SetShare(now, azuretiller.WholeRate)
+			taken := 0
+			for range 50 {
+				if _, ok := limiter.Take(now, "a"); ok {
+					taken++
+				}
+			}
+			assert.Equal(t, test.want, taken)
+		})
+	}
+}
