--- a/pkg/member/election.go
+++ b/pkg/member/election.go
@@ -39,7 +39,8 @@
 }
 
 // candidateRank returns the rank of this VM among the candidates for the next term, from 0. VMs with more CPU capacity have lower
-// ranks, by the view and by what the leader told this VM, and a VM that is leaving ranks last. The current leader and other VMs that are not ready are no candidates.
+// ranks, by the view and by what the leader told this VM, and a VM that is leaving ranks last. The current leader and other VMs that are not
+// ready are no candidates.
 func (m *Member) candidateRank() int {
 	tieBreak := func(id azuretiller.VMID) uint64 {
 		d := xxhash.NewWithSeed(uint64(m.term))
