Let the stand-in's server that goes on after its response send a whole one first

Trace: the request was placed once, answered with 200 after the service time of 20 ms, and no VM noted a fault. Of the stand-in's faults, only EndlessRest has a complete response without the text that the soak demands of bodies: one of the length 1. The VM delivers it rightly, as what follows belongs to no request; the check was right as well, so the response is now that of a healthy server, followed by bytes without end.

--- a/cmd/standin/pkg/backendserver/endless.go
+++ b/cmd/standin/pkg/backendserver/endless.go
@@ -49,7 +49,7 @@
 }
 
 // newEndlessResponse returns the response of a fault, and false if the fault has a response that ends.
-func newEndlessResponse(fault Fault, attempt string) (endlessResponse, bool) {
+func newEndlessResponse(fault Fault, attempt, id string) (endlessResponse, bool) {
 	head := signedHead(http.StatusOK, attempt)
 	chunked := head + "Transfer-Encoding: chunked\r\n\r\n"
 	part := strings.Repeat("x", endlessPart)
@@ -72,7 +72,7 @@
 	case EndlessChunks:
 		return endlessResponse{chunked, short("1\r\nx\r\n"), endlessBodyInterval}, true
 	case EndlessRest:
-		return endlessResponse{head + "Content-Length: 1\r\n\r\nx", part, 0}, true
+		return endlessResponse{formatResponse(Healthy, attempt, id), part, 0}, true
 	}
 	return endlessResponse{}, false
 }
--- a/cmd/standin/pkg/backendserver/server.go
+++ b/cmd/standin/pkg/backendserver/server.go
@@ -229,7 +229,7 @@
 	if serviceTime > 0 && s.disconnectsDuringWork(conn, serviceTime) {
 		return
 	}
-	if r, ok := newEndlessResponse(fault, attempt); ok {
+	if r, ok := newEndlessResponse(fault, attempt, s.id); ok {
 		r.write(conn)
 		s.countDisconnect()
 		return
--- a/cmd/standin/pkg/soak/regression.go
+++ b/cmd/standin/pkg/soak/regression.go
@@ -15,5 +15,6 @@
 		{703, "a pause that a server asked for right after its restart ended when its new incarnation was listed"},
 		{832, "the soak counted a response without an end, which a stopping VM cut at the end of its grace period, as cut by the VM"},
 		{843, "each of several leaders that followed each other within a window let the limited team exceed its rate"},
+		{3010, "a stand-in server that goes on after a complete response sent a body that the soak takes for a truncated one"},
 	}
 }
