Count a server's notice for the newest incarnation that was listed

Change: a VM raises the incarnation of a placement to the newest one that it has seen listed for the server, before it sends the request. A late response to a request that was sent before the new incarnation was listed still says nothing about that one. TestNoticeCountsForNewestIncarnation failed before in the first of its cases.

--- a/pkg/edge/control.go
+++ b/pkg/edge/control.go
@@ -365,8 +365,14 @@
 		Members:        view.Members,
 		Servers:        view.Servers,
 	}
+	listed := listedServers{term: view.Term, version: view.Version}
 	if !s.LeaderReachable && now.Sub(e.reads.lastRegistryRead()) < maxOwnServersAge && e.member.LeaderUnreachableFor(now) > leaderlessReadAfter {
 		s.Servers = e.ownServers(now)
+		listed = listedServers{readAt: e.reads.lastServersRead}
+	}
+	if listed != e.listed {
+		e.listed = listed
+		e.gate.SetListed(now, s.Servers)
 	}
 	e.state.Store(s)
 }
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -96,6 +96,8 @@
 	config         *config.Config
 	reads          readState
 	leaving        bool
+	// listed identifies the servers that were passed to gate last.
+	listed listedServers
 	// compressedConfig returns the newest configuration in the platform's format, compressed with gzip, for VMs that do not read the
 	// store.
 	compressedConfig atomic.Pointer[func() []byte]
--- a/pkg/edge/servers.go
+++ b/pkg/edge/servers.go
@@ -9,6 +9,13 @@
 	"github.com/azuretiller/azuretiller/pkg/scheduler"
 )
 
+// listedServers identifies a list of servers: that of a view, or one that this VM read from the store itself.
+type listedServers struct {
+	term    azuretiller.Term
+	version uint64
+	readAt  time.Time
+}
+
 // serversByService returns the servers of a view by service, for placing requests.
 func serversByService(v message.View) map[azuretiller.ServiceID][]scheduler.Server {
 	services := map[azuretiller.ServiceID][]scheduler.Server{}
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -155,6 +155,7 @@
 	if a.placement.Code != azuretiller.CodeOK || a.placement.Server == "" {
 		return a
 	}
+	a.placement.Incarnation = c.gateway.gate.NewestIncarnation(a.placement.Server, a.placement.Incarnation)
 	c.placed.Store(true)
 	started, waited := c.gateway.common.Clock.Now(), c.callerWait()
 	a.response = c.send(ctx, a.placement)
--- a/pkg/gateway/notice_test.go
+++ b/pkg/gateway/notice_test.go
@@ -171,3 +171,35 @@
 	g := newTestGateway([]message.PlaceResponse{placement(1)}, response)
 	assert.Equal(t, "1", g.serve("GET", "/reads/1").Header().Get(platform.HeaderLeaving))
 }
+
+// TestNoticeCountsForNewestIncarnation guards against requests to a leaving server after a restore of the store: the request whose response said
+// so was placed for the server's former incarnation, whose entry came back for a while.
+func TestNoticeCountsForNewestIncarnation(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		listed int64
+		sentTo []azuretiller.InstanceID
+	}{
+		{"the present incarnation was listed before", 2, []azuretiller.InstanceID{"b", "c"}},
+		{"the present incarnation is new", 1, []azuretiller.InstanceID{"b", "b"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			former, present := placement(1), placement(2)
+			former.Incarnation = 1
+			present.Server, present.Incarnation = former.Server, 2
+			good := newResponse(message.Succeeded, 200)
+			g := newTestGateway([]message.PlaceResponse{former, present, placement(2)}, leavingResponse(message.Succeeded, 200), good)
+			list := func(incarnation int64) []message.Server {
+				return []message.Server{{ID: former.Server, Service: former.Service, Incarnation: incarnation}}
+			}
+			now := g.common.Clock.Now()
+			g.gate.SetListed(now, list(c.listed))
+			g.gate.SetListed(now, list(1))
+			g.serve("POST", "/orders/1")
+			g.gate.SetListed(now, list(2))
+			g.gate.Expire(now, list(2))
+			assert.Equal(t, 200, g.serve("POST", "/orders/2").Code)
+			assert.Equal(t, c.sentTo, g.sender.sentTo())
+		})
+	}
+}
--- a/pkg/servergate/gate.go
+++ b/pkg/servergate/gate.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -21,6 +22,14 @@
 	size    atomic.Int64
 	mu      sync.Mutex
 	entries map[azuretiller.InstanceID]*entry
+	// newest holds the newest incarnation of each server that was listed within leavingRetention.
+	newest map[azuretiller.InstanceID]listing
+}
+
+// listing is an incarnation of a server, and when the server was last listed.
+type listing struct {
+	incarnation int64
+	at          time.Time
 }
 
 type entry struct {
@@ -54,7 +63,27 @@
 }
 
 // New returns a Gate through which requests to all servers may pass.
-func New() *Gate { return &Gate{entries: map[azuretiller.InstanceID]*entry{}} }
+func New() *Gate {
+	return &Gate{entries: map[azuretiller.InstanceID]*entry{}, newest: map[azuretiller.InstanceID]listing{}}
+}
+
+// SetListed records which incarnations of the servers are listed now.
+func (g *Gate) SetListed(now time.Time, servers []message.Server) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, s := range servers {
+		g.newest[s.ID] = listing{max(s.Incarnation, g.newest[s.ID].incarnation), now}
+	}
+	maps.DeleteFunc(g.newest, func(_ azuretiller.InstanceID, l listing) bool { return now.Sub(l.at) > leavingRetention })
+}
+
+// NewestIncarnation returns the incarnation of the server that gets a request which was placed for the given one. After a restore of the store,
+// requests are placed for incarnations that have ended.
+func (g *Gate) NewestIncarnation(id azuretiller.InstanceID, placed int64) int64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return max(placed, g.newest[id].incarnation)
+}
 
 // Record records that a server is leaving, or asked for a pause that begins now. It returns the change of the verdict, and false if the
 // verdict is the same as before.
