Count messages of a leader that counts this VM as a member as contact

A leader with much to do may answer heartbeats late, while its announcements to its members arrive. Only those to VMs that it has lost show nothing. The leader itself relays views only if no other VM of its zone can, as a refresh of a zone of 75 VMs is 4 MB. TestMessagesOfLeaderThatHearsNothingAreNoContact still holds; TestRelayIsStrongestVMOfZone has the case of the leader.

--- a/pkg/leader/view.go
+++ b/pkg/leader/view.go
@@ -60,7 +60,7 @@
 }
 
 // relays returns the VM of each zone that relays views. VMs that are leaving, whose last heartbeat is old, or that lack the newest views
-// come last, since they may be about to stop or unable to reach their zone. The others rank by their CPU capacity, which their links match: a
+// come last, since they may be about to stop or unable to reach their zone, and so does this VM, which has enough to do. The others rank by their CPU capacity, which their links match: a
 // complete view for a zone of a large fleet is megabytes.
 func (l *Leader) relays(now time.Time) map[azuretiller.Zone]string {
 	relays := map[azuretiller.Zone]string{}
@@ -80,7 +80,7 @@
 		if m.heartbeat.Leaving || !m.heartbeat.Ready || now.Sub(m.heartbeatAt) > maxRelaySilence {
 			return 2
 		}
-		if m.heartbeat.ViewVersion < settled {
+		if m.heartbeat.ViewVersion < settled || m.heartbeat.VM == l.self {
 			return 1
 		}
 		return 0
--- a/pkg/leader/view_test.go
+++ b/pkg/leader/view_test.go
@@ -180,6 +180,7 @@
 		"10.0.0.1:1": {VM: "weak", CPUPercent: 16, Ready: true},
 		"10.0.0.2:1": {VM: "strong", CPUPercent: 80, Ready: true},
 		"10.0.0.3:1": {VM: "strongest, but not ready", CPUPercent: 320},
+		"10.0.0.4:1": {VM: l.self, CPUPercent: 320, Ready: true},
 	} {
 		hb.Zone, hb.Incarnation = "z", 1
 		l.Receive(now, peer, message.Envelope{Body: hb})
--- a/pkg/member/receive.go
+++ b/pkg/member/receive.go
@@ -80,10 +80,13 @@
 	if response.Term < m.term || !response.IsLeader || from != m.leaderAddress {
 		return effects
 	}
-	// The leader also sends messages on its own, to VMs from which it receives nothing. They do not show that it hears this VM.
-	answered := response.Stamp > 0
-	if answered {
+	// The leader also sends messages on its own, to its members and to VMs from which it receives nothing. The latter do not show that it hears
+	// this VM.
+	heard := response.Stamp > 0 || response.StaticFieldsKnown
+	if heard {
 		m.leaderAnsweredAt, m.viewConfirmedAt = now, now
+	}
+	if response.Stamp > 0 {
 		m.strongerVMs = response.StrongerVMs
 	}
 	// The leader may spend the share of this VM only when it knows that this VM received a stamp.
@@ -95,7 +98,7 @@
 	if heartbeatDue {
 		effects = append(effects, m.sendHeartbeat(now)...)
 	}
-	if answered && m.state != accessingRecord && !response.LeaderResigned {
+	if heard && m.state != accessingRecord && !response.LeaderResigned {
 		m.state = following
 	}
 	electionRequested := response.LeaderResigned && !m.leaderResigned && !m.leading
