Depose no leader for want of votes, and take the start of its term for contact

Change: a poll of two VMs or more that nobody answers is repeated twice, 0.2 s apart, before the VM claims; the message with which a leader begins its term counts as contact once. TestVMWithoutVotesDoesNotDeposeLeader failed before.

--- a/pkg/member/election.go
+++ b/pkg/member/election.go
@@ -81,6 +81,7 @@
 			effects = append(effects, m.pollPeer(peer))
 		}
 	}
+	m.polled = len(effects)
 	if len(effects) == 0 || m.term == 0 {
 		// A VM that has just started, or knows no other VM, reads the leader record without waiting for votes. It polls the seeds
 		// as well, since they can name the leader while the store is unavailable.
@@ -116,7 +117,7 @@
 }
 
 // finishPoll counts the votes and that of this VM, which the leader does not answer. This VM reads the leader record, and may then
-// claim leadership, unless the leader answers most of these VMs.
+// claim leadership, unless the leader answers most of these VMs. A poll that nobody answers is repeated first.
 func (m *Member) finishPoll(now time.Time) []Effect {
 	if m.LeaderReachable(now) {
 		m.state = following
@@ -136,6 +137,14 @@
 		m.holder.Confirm(m.pollStartedAt)
 	}
 	fields := log.Fields{"term": m.term, "in_touch": connected, "out_of_touch": disconnected + 1}
+	if len(m.votes) > 0 || m.polled < minPolled {
+		m.unansweredPolls = 0
+	} else if m.unansweredPolls++; m.unansweredPolls <= maxUnansweredPolls {
+		// More likely this VM is slow or cut off than all others are down.
+		m.state = waiting
+		m.stateDeadline = now.Add(unansweredPollDelay)
+		return appendLog(nil, "poll unanswered", fields)
+	}
 	if connected > disconnected+1 {
 		m.state = waiting
 		m.stateDeadline = now.Add(isolatedPollInterval)
--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -52,6 +52,8 @@
 	nextQueryAt time.Time
 	queryRounds int
 
+	// polled is the number of VMs that the last poll asked, and unansweredPolls that of successive polls that none of at least minPolled answered.
+	polled, unansweredPolls int
 	// votes maps the host:port of each VM that answered the poll to its vote.
 	votes map[string]message.Vote
 	// claims holds the records for which this VM issued a Claim.
--- a/pkg/member/params.go
+++ b/pkg/member/params.go
@@ -12,6 +12,10 @@
 	newLeaderTimeout = 400 * time.Millisecond
 	// pollTimeout is how long votes are collected.
 	pollTimeout = 150 * time.Millisecond
+	// minPolled is the number of VMs from which a poll without any answer is repeated, up to maxUnansweredPolls times, unansweredPollDelay later.
+	minPolled           = 2
+	maxUnansweredPolls  = 2
+	unansweredPollDelay = 200 * time.Millisecond
 	// storeRetryDelay is the time until the leader record is read again after a failed read, to which lateCandidateStep is added for
 	// each rank. After a failed claim the time is half as long.
 	storeRetryDelay = 600 * time.Millisecond
--- a/pkg/member/rank_test.go
+++ b/pkg/member/rank_test.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -26,3 +27,18 @@
 	m.Receive(now, "10.0.0.9:1", 0, message.HeartbeatResponse{Term: 1, IsLeader: true, Leader: "l", LeaderAddress: "10.0.0.9:1", ConfigRevision: 1})
 	assert.Equal(t, 18, m.candidateRank(), "after an announcement, which does not answer a heartbeat")
 }
+
+// TestVMWithoutVotesDoesNotDeposeLeader guards against a VM that deposes a leader which all others reach, since it is too slow for a moment to
+// receive the leader's answers and the votes of the others.
+func TestVMWithoutVotesDoesNotDeposeLeader(t *testing.T) {
+	f := newFleet(t, 36, 8)
+	f.schedule.Run(2 * time.Second)
+	term := f.activeLeaders()[0].leader.Term()
+	slow := f.vms[slices.IndexFunc(f.vms, func(v *vm) bool { return v.leader == nil && v.member.candidateRank() == 0 })]
+	f.dropsLink = func(_, to int) bool { return to == slow.index }
+	f.schedule.Run(1300 * time.Millisecond)
+	f.dropsLink = func(int, int) bool { return false }
+	f.schedule.Run(2 * time.Second)
+	f.assertOneLeader("after the VM was slow")
+	assert.Equal(t, term, f.activeLeaders()[0].leader.Term())
+}
--- a/pkg/member/receive.go
+++ b/pkg/member/receive.go
@@ -62,7 +62,8 @@
 
 func (m *Member) receiveHeartbeatResponse(now time.Time, from string, response message.HeartbeatResponse) []Effect {
 	var effects []Effect
-	if response.Term > m.term {
+	isNew := response.Term > m.term
+	if isNew {
 		if m.leading {
 			effects = append(effects, StepDown{Newer: response.Term})
 		}
@@ -80,9 +81,9 @@
 	if response.Term < m.term || !response.IsLeader || from != m.leaderAddress {
 		return effects
 	}
-	// The leader also sends messages on its own, to its members and to VMs from which it receives nothing. The latter do not show that it hears
-	// this VM.
-	heard := response.Stamp > 0 || response.StaticFieldsKnown
+	// The leader also sends messages on its own: when its term begins, to its members, and to VMs from which it receives nothing. The last ones
+	// do not show that it hears this VM.
+	heard := response.Stamp > 0 || response.StaticFieldsKnown || isNew
 	if heard {
 		m.leaderAnsweredAt, m.viewConfirmedAt = now, now
 	}
