Look up incarnations without a lock, and count lagging VMs in one place

Found in a last read of the change; behaviour is the same. Each request took the lock of the gate for the newest incarnation of its server, which the gate avoids everywhere else; the list is replaced as a whole now. The VMs that lack views were counted by two loops. The rule on unanswered polls has a function of its own, and a function that updates the time since a VM is behind is no longer named like a predicate.

Race tests of pkg/servergate, pkg/leader and pkg/gateway, the tests of pkg/member and pkg/edge (but for the known red one), and the linter pass.

--- a/pkg/edge/reads.go
+++ b/pkg/edge/reads.go
@@ -115,7 +115,7 @@
 // not get an announced configuration from others reads the settings.
 func (e *Edge) startReads(ctx context.Context, now time.Time) {
 	wait, interval, readsServers := e.settingsWait(), serversReadInterval, true
-	behind := e.isBehind(now)
+	behind := e.checkBehind(now)
 	if e.leader == nil {
 		readsServers = e.member.LeaderUnreachableFor(now) >= leaderlessReadAfter
 		if !readsServers && !behind {
@@ -155,8 +155,8 @@
 	}
 }
 
-// isBehind reports whether this VM has lacked the announced configuration for behindReadAfter.
-func (e *Edge) isBehind(now time.Time) bool {
+// checkBehind updates behindSince, and reports whether this VM has lacked the announced configuration for behindReadAfter.
+func (e *Edge) checkBehind(now time.Time) bool {
 	switch {
 	case e.reads.advertisedRevision <= e.revision():
 		e.reads.behindSince = time.Time{}
--- a/pkg/leader/view.go
+++ b/pkg/leader/view.go
@@ -43,12 +43,9 @@
 		return nil
 	}
 	l.zonesRefreshedAt = now
-	settled := l.settledViewVersion(now)
-	behind := map[azuretiller.Zone]int{}
-	for _, m := range l.members {
-		if m.heartbeat.ViewVersion < settled {
-			behind[m.heartbeat.Zone]++
-		}
+	behind := l.behindByZone(now)
+	if len(behind) == 0 {
+		return nil
 	}
 	var effects []Effect
 	for zone, relay := range l.relays(now) {
@@ -118,11 +115,20 @@
 
 // membersBehind returns the number of members whose heartbeats report a view older than the settled one.
 func (l *Leader) membersBehind(now time.Time) int {
+	sum := 0
+	for _, n := range l.behindByZone(now) {
+		sum += n
+	}
+	return sum
+}
+
+// behindByZone returns the number of these members in each zone that has any.
+func (l *Leader) behindByZone(now time.Time) map[azuretiller.Zone]int {
 	settled := l.settledViewVersion(now)
-	behind := 0
+	behind := map[azuretiller.Zone]int{}
 	for _, m := range l.members {
 		if m.heartbeat.ViewVersion < settled {
-			behind++
+			behind[m.heartbeat.Zone]++
 		}
 	}
 	return behind
--- a/pkg/member/election.go
+++ b/pkg/member/election.go
@@ -137,10 +137,7 @@
 		m.holder.Confirm(m.pollStartedAt)
 	}
 	fields := log.Fields{"term": m.term, "in_touch": connected, "out_of_touch": disconnected + 1}
-	if len(m.votes) > 0 || m.polled < minPolled {
-		m.unansweredPolls = 0
-	} else if m.unansweredPolls++; m.unansweredPolls <= maxUnansweredPolls {
-		// More likely this VM is slow or cut off than all others are down.
+	if m.repeatsPoll() {
 		m.state = waiting
 		m.stateDeadline = now.Add(unansweredPollDelay)
 		return appendLog(nil, "poll unanswered", fields)
@@ -154,6 +151,17 @@
 	return appendLog([]Effect{ReadLeader{}}, "leader doubted", fields)
 }
 
+// repeatsPoll reports whether the poll is to be repeated, since nobody answered it: more likely this VM is slow or cut off than all others are
+// down.
+func (m *Member) repeatsPoll() bool {
+	if len(m.votes) > 0 || m.polled < minPolled {
+		m.unansweredPolls = 0
+		return false
+	}
+	m.unansweredPolls++
+	return m.unansweredPolls <= maxUnansweredPolls
+}
+
 // LeaderRead handles the result of ReadLeader: the leader record and the position of the next one, or an error. It follows a newer
 // leader that the record names, claims the next term or waits.
 func (m *Member) LeaderRead(now time.Time, r azuretiller.LeaderRecord, next azuretiller.Position, err error) []Effect {
--- a/pkg/servergate/gate.go
+++ b/pkg/servergate/gate.go
@@ -22,8 +22,9 @@
 	size    atomic.Int64
 	mu      sync.Mutex
 	entries map[azuretiller.InstanceID]*entry
-	// newest holds the newest incarnation of each server that was listed within leavingRetention.
-	newest map[azuretiller.InstanceID]listing
+	// newest holds the newest incarnation of each server that was listed within leavingRetention. The map is replaced when the list changes,
+	// so that requests need no lock.
+	newest atomic.Pointer[map[azuretiller.InstanceID]listing]
 }
 
 // listing is an incarnation of a server, and when the server was last listed.
@@ -64,25 +65,25 @@
 
 // New returns a Gate through which requests to all servers may pass.
 func New() *Gate {
-	return &Gate{entries: map[azuretiller.InstanceID]*entry{}, newest: map[azuretiller.InstanceID]listing{}}
+	g := &Gate{entries: map[azuretiller.InstanceID]*entry{}}
+	g.newest.Store(&map[azuretiller.InstanceID]listing{})
+	return g
 }
 
-// SetListed records which incarnations of the servers are listed now.
+// SetListed records which incarnations of the servers are listed now. It must not be called by several goroutines at the same time.
 func (g *Gate) SetListed(now time.Time, servers []message.Server) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
+	newest := maps.Clone(*g.newest.Load())
 	for _, s := range servers {
-		g.newest[s.ID] = listing{max(s.Incarnation, g.newest[s.ID].incarnation), now}
+		newest[s.ID] = listing{max(s.Incarnation, newest[s.ID].incarnation), now}
 	}
-	maps.DeleteFunc(g.newest, func(_ azuretiller.InstanceID, l listing) bool { return now.Sub(l.at) > leavingRetention })
+	maps.DeleteFunc(newest, func(_ azuretiller.InstanceID, l listing) bool { return now.Sub(l.at) > leavingRetention })
+	g.newest.Store(&newest)
 }
 
 // NewestIncarnation returns the incarnation of the server that gets a request which was placed for the given one. After a restore of the store,
 // requests are placed for incarnations that have ended.
 func (g *Gate) NewestIncarnation(id azuretiller.InstanceID, placed int64) int64 {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return max(placed, g.newest[id].incarnation)
+	return max(placed, (*g.newest.Load())[id].incarnation)
 }
 
 // Record records that a server is leaving, or asked for a pause that begins now. It returns the change of the verdict, and false if the
