edge: bound what clients can take of memory and descriptors

Cause: net/http limits only the bytes of a head, while a line takes up to 200 bytes once it is parsed, and heads were copied for forwarding and for each attempt. Nothing limited the heads of all connections together, the number of connections or the receive buffers, and the listeners used constants instead of the limits of the configuration.

Change: pkg/connlimit wraps the connections of all four listeners and pkg/headlimit counts bytes and lines of a head. Memory of heads beyond 32 KiB of a connection is reserved from an eighth of memoryMb, else 503 before net/http gets the end of the head. At a maximum of connections, which follows from memoryMb and maxFds, those that are needed least are closed. maxHeaderBytes, headerTimeout and idleTimeout of the configuration are in force. Receive buffers have 32 KiB. The runtime's memory limit is 0.6 of memoryMb.

--- a/cmd/azuretiller/pkg/app/edge.go
+++ b/cmd/azuretiller/pkg/app/edge.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"strconv"
 	"syscall"
 	"time"
@@ -28,6 +29,9 @@
 	metricsInterval = 2 * time.Second
 	// settingsPollInterval is the time between checks of the settings file, which may change without a SIGHUP.
 	settingsPollInterval = 2 * time.Second
+	// runtimeMemoryShare is the share of the memory of the VM above which the runtime collects garbage more often. The rest is left for the
+	// program, the buffers of the kernel and what is allocated during a collection.
+	runtimeMemoryShare = 0.6
 )
 
 func edgeCommand(out io.Writer) *cobra.Command {
@@ -53,6 +57,10 @@
 	if err != nil {
 		return err
 	}
+	if s.MemoryBytes > 0 {
+		// The limit covers the memory of the runtime but not the program itself.
+		debug.SetMemoryLimit(int64(float64(s.MemoryBytes) * runtimeMemoryShare))
+	}
 	backgroundCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	writer := asyncwriter.New(out)
 	writerDone := make(chan struct{})
--- a/cmd/standin/pkg/clientlimits/limits_test.go
+++ b/cmd/standin/pkg/clientlimits/limits_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -19,6 +20,9 @@
 // legalSize is the size in bytes of the largest head that the tests count as legal.
 const legalSize = maxHeaderBytes - 64
 
+// uploadSize is the size in bytes of the largest body that is buffered as a whole.
+const uploadSize = 1 << 20
+
 // TestLegalHeadsOfManyLines guards against legal requests of very many short or odd header lines that fill the memory while their responses
 // are pending: their bodies never arrive.
 func TestLegalHeadsOfManyLines(t *testing.T) {
@@ -102,6 +106,15 @@
 	p.check(t)
 }
 
+// TestUploadsThatDoNotEnd guards against bodies up to the buffered size that lack their last byte.
+func TestUploadsThatDoNotEnd(t *testing.T) {
+	p := startProcess(t, maxFds, servers)
+	load{address: address(loopback.CallerPort), connections: 400, send: func(conn net.Conn, number int) {
+		_, _ = io.WriteString(conn, requestStart(http.MethodPost, "/orders/1", number)+fmt.Sprintf("Content-Length: %d\r\n\r\n", uploadSize)+strings.Repeat("x", uploadSize-1))
+	}}.run(t, p)
+	p.check(t)
+}
+
 // TestUnreadBytes guards against bytes that wait in the receive buffers of connections while a request runs. They count as memory of the VM.
 func TestUnreadBytes(t *testing.T) {
 	p := startProcess(t, maxFds, manyServers)
--- /dev/null
+++ b/pkg/connlimit/conn.go
@@ -0,0 +1,301 @@
+package connlimit
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/azuretiller/azuretiller/pkg/headlimit"
+)
+
+const (
+	// unreservedHead is the memory in bytes of a head that needs no reservation. Heads of 4 KB with 60 lines stay below it.
+	unreservedHead = 32 << 10
+	// reserveStep is the size in bytes by which the reservation of a larger head grows.
+	reserveStep = 32 << 10
+	// headSlack is added to Limits.HeadBytes, as net/http does.
+	headSlack = 4 << 10
+	// readBuffer is the size in bytes of the read buffer of net/http, which may hold the start of the next head when a request ends.
+	readBuffer = 4 << 10
+	// refuseTimeout bounds the time to write a refusal.
+	refuseTimeout = 200 * time.Millisecond
+
+	tooLarge = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+	// noMemory may promise that the request does not run, since its head never reaches net/http.
+	noMemory = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+)
+
+// phase is what happens on a connection.
+type phase int
+
+const (
+	awaitingHead phase = iota
+	readingHead
+	// headRead means that the head is complete, and that the handler has not started.
+	headRead
+	readingBody
+	responding
+)
+
+// conn is a connection of a client. It counts what passes through Read.
+type conn struct {
+	net.Conn
+	limiter *Limiter
+
+	mu     sync.Mutex
+	phase  phase
+	closed bool
+	// refused means that the memory for the start of the next head could not be reserved.
+	refused bool
+	// served means that a request has ended.
+	served bool
+	// since is the start of the phase, or the time of the last read of a body.
+	since time.Time
+	head  headlimit.Counter
+	// reserved is the memory that is taken from Limiter.heads.
+	reserved int64
+	// bodyLength is the length of the body in bytes, or -1 if it is unknown.
+	bodyLength int64
+	// rest counts what was read after the head, and last what the last read of more than one byte and the reads after it returned. net/http
+	// reads a single byte while a handler runs.
+	rest, last size
+	// line is the length of the line at the end of rest, and blank means that it is a carriage return.
+	line  int
+	blank bool
+}
+
+// size is a number of bytes and of line ends.
+type size struct {
+	bytes int64
+	lines int
+}
+
+// Read reads from the connection. It fails once the head exceeds a limit.
+func (c *conn) Read(p []byte) (int, error) {
+	if c.isRefused() {
+		return 0, os.ErrDeadlineExceeded
+	}
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		if refusal := c.count(p[:n]); refusal != "" {
+			// net/http closes the connection without a response of its own after a timeout.
+			_ = c.SetWriteDeadline(time.Now().Add(refuseTimeout))
+			_, _ = io.WriteString(c.Conn, refusal)
+			return 0, os.ErrDeadlineExceeded
+		}
+	}
+	// The error is not wrapped, since net/http examines it.
+	return n, err
+}
+
+func (c *conn) isRefused() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.refused
+}
+
+// count counts bytes that were read, and returns the response with which the head is refused, if it is.
+func (c *conn) count(p []byte) (refusal string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	used := 0
+	switch c.phase {
+	case awaitingHead:
+		c.setPhase(readingHead)
+		fallthrough
+	case readingHead:
+		used = c.head.Add(p)
+		if c.head.Ended() {
+			c.setPhase(headRead)
+			c.line, c.blank = 0, false
+		}
+	case readingBody:
+		c.since = c.limiter.now()
+	}
+	c.countRest(p[used:])
+	if c.phase != readingHead && c.phase != headRead {
+		if c.phase == readingBody && c.bodyLength >= 0 && c.rest.bytes >= c.bodyLength {
+			c.setPhase(responding)
+		}
+		return ""
+	}
+	// More than a read buffer behind a head that the handler has not got means that net/http still reads the head.
+	if c.head.Bytes() > c.limiter.limits().HeadBytes+headSlack || c.rest.bytes > 2*readBuffer {
+		c.limiter.refused("head too large")
+		return tooLarge
+	}
+	if !c.reserve() {
+		c.limiter.refused("memory of heads")
+		return noMemory
+	}
+	return ""
+}
+
+// countRest counts bytes that follow the head.
+func (c *conn) countRest(p []byte) {
+	s := size{int64(len(p)), bytes.Count(p, []byte("\n"))}
+	c.rest.add(s)
+	if len(p) > 1 {
+		c.last = size{}
+	}
+	c.last.add(s)
+	if end := bytes.LastIndexByte(p, '\n'); end >= 0 {
+		c.line = len(p) - end - 1
+	} else {
+		c.line += len(p)
+	}
+	if len(p) > 0 {
+		c.blank = c.line == 1 && p[len(p)-1] == '\r'
+	}
+}
+
+func (s *size) add(o size) {
+	s.bytes += o.bytes
+	s.lines += o.lines
+}
+
+// reserve takes the memory of the head that exceeds unreservedHead, and reports whether it was available.
+func (c *conn) reserve() bool {
+	missing := c.head.Cost() - unreservedHead - c.reserved
+	if c.phase == headRead && c.rest.bytes > readBuffer {
+		// net/http still reads the head, although the counter saw its end.
+		missing += headlimit.Cost(c.rest.bytes, c.rest.lines)
+	}
+	if missing <= 0 || c.closed {
+		return true
+	}
+	missing = (missing + reserveStep - 1) / reserveStep * reserveStep
+	if !c.limiter.heads.Take(missing) {
+		return false
+	}
+	c.reserved += missing
+	return true
+}
+
+func (c *conn) release() {
+	c.limiter.heads.Put(c.reserved)
+	c.reserved = 0
+}
+
+func (c *conn) setPhase(p phase) {
+	c.phase, c.since = p, c.limiter.now()
+}
+
+// beginRequest means that the head has been read; the length is that of the body, or -1.
+func (c *conn) beginRequest(bodyLength int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase != headRead {
+		// The end of the head is among bytes that belong to requests sent one after the other without waiting. What follows it is not known.
+		c.last = size{bytes: readBuffer, lines: c.head.Lines()}
+		c.rest = c.last
+		c.line, c.blank = c.head.OpenLine()
+		bodyLength = -1
+	}
+	c.bodyLength = bodyLength
+	c.setPhase(readingBody)
+	if bodyLength >= 0 && c.rest.bytes >= bodyLength {
+		c.setPhase(responding)
+	}
+}
+
+// endBody means that the body has been read to its end.
+func (c *conn) endBody() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase == readingBody {
+		c.setPhase(responding)
+	}
+}
+
+// endRequest means that the response has been sent. What net/http has read beyond the request belongs to the next head; of the lines of such
+// bytes only the largest possible number is known.
+func (c *conn) endRequest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.release()
+	next := min(c.last.bytes, readBuffer+1)
+	if c.bodyLength >= 0 {
+		next = min(max(c.rest.bytes-c.bodyLength, 0), readBuffer+1)
+	}
+	lines := min(c.rest.lines, c.last.lines, int(next))
+	c.head, c.rest, c.last = headlimit.Counter{}, size{}, size{}
+	c.served = true
+	c.setPhase(awaitingHead)
+	if next == 0 {
+		return
+	}
+	c.setPhase(readingHead)
+	c.head.AddUnknown(int(next), lines, c.line, c.blank)
+	c.refused = !c.reserve()
+}
+
+// isLate reports whether the client has taken too long for a head or without one.
+func (c *conn) isLate(now time.Time, limits Limits) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch c.phase {
+	case awaitingHead:
+		return now.Sub(c.since) > limits.IdleTimeout
+	case readingHead:
+		return now.Sub(c.since) > limits.HeadTimeout
+	default:
+		return false
+	}
+}
+
+// rank returns how much a connection is needed, and since when it waits for the client.
+func (c *conn) rank() (rank, time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.phase == readingBody:
+		return awaitsBody, c.since
+	case c.phase == headRead || c.phase == responding:
+		return needed, c.since
+	case c.served:
+		return awaitsNextHead, c.since
+	default:
+		return awaitsFirstHead, c.since
+	}
+}
+
+// Close closes the connection and releases what it has reserved.
+func (c *conn) Close() error {
+	c.mu.Lock()
+	if !c.closed {
+		c.closed = true
+		c.release()
+	}
+	c.mu.Unlock()
+	c.limiter.remove(c)
+	return errors.Wrap(c.Conn.Close(), "close connection")
+}
+
+// CloseWrite closes the sending side, so that net/http can send a response before it closes a connection with unread bytes.
+func (c *conn) CloseWrite() error {
+	if inner, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return errors.Wrap(inner.CloseWrite(), "close the sending side")
+	}
+	return nil
+}
+
+// body tells the connection when the body of a request has been read.
+type body struct {
+	io.ReadCloser
+	conn *conn
+}
+
+// Read reads the body.
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF {
+		b.conn.endBody()
+	}
+	return n, err
+}
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -13,8 +13,10 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/azuretiller/azuretiller"
+	"github.com/azuretiller/azuretiller/pkg/bytebudget"
 	"github.com/azuretiller/azuretiller/pkg/common"
 	"github.com/azuretiller/azuretiller/pkg/config"
+	"github.com/azuretiller/azuretiller/pkg/connlimit"
 	"github.com/azuretiller/azuretiller/pkg/datagram"
 	"github.com/azuretiller/azuretiller/pkg/fallback"
 	"github.com/azuretiller/azuretiller/pkg/gateway"
@@ -37,11 +39,6 @@
 	tickInterval = 50 * time.Millisecond
 	// inboxSize is the capacity of each event queue of the control goroutine.
 	inboxSize = 4096
-	// headerTimeout bounds the time to read the headers of a request.
-	headerTimeout = 10 * time.Second
-	// idleTimeout is longer than callers keep an idle connection open.
-	idleTimeout    = 10 * time.Minute
-	maxHeaderBytes = 64 << 10
 	// acceptShare is the share of the grace period during which a leaving VM accepts requests of callers that still have its address.
 	// The rest of the period is left for these requests to finish.
 	acceptShare = 0.5
@@ -193,7 +190,8 @@
 
 // listenHTTP opens the listeners of the VM. It returns the server for callers' requests and the others.
 func (e *Edge) listenHTTP(ctx context.Context) (callers httpServer, others []httpServer, err error) {
-	callers, err = newHTTPServer(ctx, e.processSettings.CallerAddress, e.gateway)
+	heads := bytebudget.New(e.headMemory())
+	callers, err = newHTTPServer(ctx, e.processSettings.CallerAddress, e.gateway, e.newLimiter(heads, e.maxCallerConns()))
 	if err != nil {
 		return httpServer{}, nil, err
 	}
@@ -206,7 +204,7 @@
 		{e.processSettings.ReadinessAddress, readyRoutes(e.State)},
 		{e.processSettings.PeerAddress, e.peerRoutes()},
 	} {
-		other, err := newHTTPServer(ctx, h.address, h.handler)
+		other, err := newHTTPServer(ctx, h.address, h.handler, e.newLimiter(heads, e.maxOtherConns()))
 		if err != nil {
 			return httpServer{}, nil, err
 		}
@@ -215,17 +213,18 @@
 	return callers, others, nil
 }
 
-func newHTTPServer(ctx context.Context, address string, handler http.Handler) (httpServer, error) {
-	var listenConfig net.ListenConfig
+func newHTTPServer(ctx context.Context, address string, handler http.Handler, limiter *connlimit.Limiter) (httpServer, error) {
+	listenConfig := net.ListenConfig{Control: limitReceiveBuffer}
 	l, err := listenConfig.Listen(ctx, "tcp", address)
 	if err != nil {
 		return httpServer{}, errors.Wrapf(err, "listen on %s", address)
 	}
-	return httpServer{listener: l, server: &http.Server{
-		Handler:           handler,
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
+	go limiter.Run(ctx)
+	// The limiter takes the place of the time and size limits of net/http, which cannot follow the configuration.
+	return httpServer{listener: limiter.Listen(l), server: &http.Server{
+		Handler:     limiter.Handler(handler),
+		ConnContext: limiter.ConnContext,
+		ConnState:   limiter.ConnState,
 	}}, nil
 }
 
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -101,7 +101,8 @@
 		return code
 	}
 	c.timeout = c.route.RequestTimeout(c.request.Header.Get(platform.HeaderDeadline))
-	c.headers = c.request.Header.Clone()
+	// The headers are changed in place, since a copy of many lines takes many times their size.
+	c.headers = c.request.Header
 	headers.StripHopByHop(c.headers)
 	for _, name := range []string{"Authorization", platform.HeaderTeam, platform.HeaderInstance, platform.HeaderDeadline} {
 		c.headers.Del(name)
--- a/pkg/upstream/request.go
+++ b/pkg/upstream/request.go
@@ -51,22 +51,29 @@
 
 func writeHead(head *bytes.Buffer, a Attempt) error {
 	head.WriteString(a.Method + " " + a.Target + " HTTP/1.1\r\nHost: " + a.Host + "\r\n")
-	h := a.Headers.Clone()
-	h.Set("Connection", "close")
-	h.Set(platform.HeaderInstance, string(a.Server))
-	h.Set(platform.HeaderDeadline, strconv.FormatInt(max(time.Until(a.Deadline).Milliseconds(), 1), 10))
-	h.Del("Content-Length")
+	// The headers of the caller are not copied, since a head of many lines takes many times its size.
+	replaced := http.Header{}
+	replaced.Set("Connection", "close")
+	replaced.Set(platform.HeaderInstance, string(a.Server))
+	replaced.Set(platform.HeaderDeadline, strconv.FormatInt(max(time.Until(a.Deadline).Milliseconds(), 1), 10))
 	switch {
 	case a.Body != nil && a.BodySize < 0:
-		h.Set("Transfer-Encoding", "chunked")
+		replaced.Set("Transfer-Encoding", "chunked")
 	case a.Body != nil:
-		h.Set("Content-Length", strconv.FormatInt(a.BodySize, 10))
+		replaced.Set("Content-Length", strconv.FormatInt(a.BodySize, 10))
 	case a.Method == http.MethodPost || a.Method == http.MethodPut || a.Method == http.MethodPatch:
-		h.Set("Content-Length", "0")
+		replaced.Set("Content-Length", "0")
 	}
-	if err := h.Write(head); err != nil {
+	excluded := map[string]bool{"Content-Length": true}
+	for name := range replaced {
+		excluded[name] = true
+	}
+	if err := a.Headers.WriteSubset(head, excluded); err != nil {
 		return errors.Wrap(err, "write request headers")
 	}
+	if err := replaced.Write(head); err != nil {
+		return errors.Wrap(err, "write replaced request headers")
+	}
 	head.WriteString("\r\n")
 	return nil
 }
