Fail attempts whose response has an invalid status

Cause: net/http accepts any three digits as a status. pkg/upstream took everything below 200 for an informational response and used the next response on the connection; pkg/dispatch returned the response as a success and kept the connection; a probe counted 000 as healthy.

Change: headers.IsValidStatus (100 to 599). In pkg/upstream such a response fails the attempt (the request may have run) and the connection is closed; in pkg/dispatch it is a broken connection, which is closed and not used again; a probe with it fails. The stand-in servers can send status 000.

The new case of TestBackendServerFaults is a guard: it passes without the change too, since the stand-in closes the connection.

--- a/cmd/standin/pkg/backendserver/endless.go
+++ b/cmd/standin/pkg/backendserver/endless.go
@@ -25,6 +25,9 @@
 	EndlessRest
 )
 
+// InvalidStatus sends a complete response with status 000.
+const InvalidStatus = EndlessRest + 1
+
 const (
 	// endlessPart is the size in bytes of one write of an endless response.
 	endlessPart = 1 << 10
--- a/cmd/standin/pkg/backendserver/server.go
+++ b/cmd/standin/pkg/backendserver/server.go
@@ -322,6 +322,8 @@
 		return signedHead(http.StatusOK, attempt) + "\r\n" + bodyPrefix + id
 	case ForeignError:
 		return framedResponse(http.StatusInternalServerError, "another")
+	case InvalidStatus:
+		return strings.Replace(framedResponse(http.StatusOK, attempt), strconv.Itoa(http.StatusOK), "000", 1)
 	case RejectWithoutNotRun:
 		return framedResponse(http.StatusServiceUnavailable, attempt)
 	default:
--- a/cmd/standin/pkg/fleet/fleet_test.go
+++ b/cmd/standin/pkg/fleet/fleet_test.go
@@ -137,6 +137,7 @@
 		{"sends interim responses without end", backendserver.EndlessInterimResponses, 502, 502, 1},
 		{"sends a chunk extension without end", backendserver.EndlessChunkExtension, 502, 502, 1},
 		{"sends trailers without end", backendserver.EndlessTrailers, 502, 502, 1},
+		{"sends status 000", backendserver.InvalidStatus, 502, 502, 1},
 		{"goes on after a complete response", backendserver.EndlessRest, 200, 200, 1},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/pkg/dispatch/sender.go
+++ b/pkg/dispatch/sender.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -98,13 +99,12 @@
 		return result
 	}
 	kind := classifyResponse(response)
-	id := response.Header.Get(headers.RequestID)
-	if id != r.TraceID && (id != "" || kind == pool.Shed) {
+	if reason := findMismatch(response, kind, r.TraceID); reason != "" {
 		if c := conn.Load(); c != nil {
 			c.discard()
 		}
 		_ = response.Body.Close()
-		return AttemptResult{Kind: pool.ConnectionBroken, Latency: latency, Reason: "the answer belongs to another request"}
+		return AttemptResult{Kind: pool.ConnectionBroken, Latency: latency, Reason: reason}
 	}
 	if kind == pool.Shed {
 		// The body of a refusal is not used, and may have no end.
@@ -174,6 +174,17 @@
 // Read returns io.EOF.
 func (emptyBody) Read([]byte) (int, error) { return 0, io.EOF }
 
+// findMismatch returns why a response is not that of the request, so that its connection is not used again, or an empty string.
+func findMismatch(response *http.Response, kind pool.ResultKind, requestID string) string {
+	if !headers.IsValidStatus(response.StatusCode) {
+		return fmt.Sprintf("the answer has the invalid status %03d", response.StatusCode)
+	}
+	if id := response.Header.Get(headers.RequestID); id != requestID && (id != "" || kind == pool.Shed) {
+		return "the answer belongs to another request"
+	}
+	return ""
+}
+
 func classifyResponse(response *http.Response) pool.ResultKind {
 	switch {
 	case response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(headers.NotRun) != "":
@@ -213,5 +224,5 @@
 	}
 	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxProbeBytes))
 	_ = response.Body.Close()
-	return response.StatusCode < http.StatusMultipleChoices
+	return headers.IsValidStatus(response.StatusCode) && response.StatusCode < http.StatusMultipleChoices
 }
--- a/pkg/headers/headers.go
+++ b/pkg/headers/headers.go
@@ -25,6 +25,9 @@
 	bearerPrefix = "Bearer "
 )
 
+// maxStatus is the highest status of HTTP.
+const maxStatus = 599
+
 // keyPlaceholder replaces the caller's key in a forwarded request target.
 const keyPlaceholder = "hidden"
 
@@ -120,3 +123,6 @@
 	}
 	return values.Encode()
 }
+
+// IsValidStatus reports whether a response may have a status; net/http accepts any three digits, such as 000.
+func IsValidStatus(status int) bool { return status >= http.StatusContinue && status <= maxStatus }
--- a/pkg/upstream/sender.go
+++ b/pkg/upstream/sender.go
@@ -15,6 +15,7 @@
 
 	"github.com/azuretiller/azuretiller"
 	"github.com/azuretiller/azuretiller/pkg/bytebudget"
+	"github.com/azuretiller/azuretiller/pkg/headers"
 	"github.com/azuretiller/azuretiller/pkg/message"
 	"github.com/azuretiller/azuretiller/platform"
 )
@@ -231,13 +232,17 @@
 	return errors.Wrap(err, "close connection to backend server")
 }
 
-// readResponse returns the first response that is not informational.
+// readResponse returns the first response that is not informational. Responses with a status that HTTP does not have are errors: net/http accepts
+// any three digits.
 func readResponse(reader *bufio.Reader, a Attempt) (*http.Response, error) {
 	for range maxInformational {
 		httpResponse, err := http.ReadResponse(reader, &http.Request{Method: a.Method})
 		if err != nil {
 			return nil, errors.Wrap(err, "read response")
 		}
+		if !headers.IsValidStatus(httpResponse.StatusCode) {
+			return nil, errors.Newf("response has the invalid status %03d", httpResponse.StatusCode)
+		}
 		if httpResponse.StatusCode >= http.StatusOK {
 			return httpResponse, nil
 		}
