Bound the time in which callers read a response

Cause: only streamed responses had a write deadline. A caller that did not read a complete response kept its request, its connection and the slot of the backend server, since the result is reported after the write, until it disconnected. Such connections counted as needed and were never closed for others.

On all listeners, a write that takes longer than idleTimeout closes the connection, and one of more than 1 s makes it one that may be closed for a new one. TestMain of pkg/connlimit and pkg/headlimit exits like the others.

--- a/pkg/connlimit/conn.go
+++ b/pkg/connlimit/conn.go
@@ -22,6 +22,8 @@
 	headSlack = 4 << 10
 	// readBuffer is the size in bytes of the read buffer of net/http, which may hold the start of the next head when a request ends.
 	readBuffer = 4 << 10
+	// slowWrite is the time after which a write counts as one that waits for the client to read.
+	slowWrite = time.Second
 	// refuseTimeout bounds the time to write a refusal.
 	refuseTimeout = 200 * time.Millisecond
 
@@ -64,6 +66,8 @@
 	// rest counts what was read after the head, and last what the last read of more than one byte and the reads after it returned. net/http
 	// reads a single byte while a handler runs.
 	rest, last size
+	// writing is the start of the write that is under way, or zero.
+	writing time.Time
 	// line is the length of the line at the end of rest, and blank means that it is a carriage return.
 	line  int
 	blank bool
@@ -93,6 +97,20 @@
 	return n, err
 }
 
+// Write writes to the connection.
+func (c *conn) Write(p []byte) (int, error) {
+	c.setWriting(c.limiter.now())
+	defer c.setWriting(time.Time{})
+	// The error is not wrapped, since net/http examines it.
+	return c.Conn.Write(p)
+}
+
+func (c *conn) setWriting(since time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writing = since
+}
+
 func (c *conn) isRefused() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -235,10 +253,13 @@
 	c.refused = !c.reserve()
 }
 
-// isLate reports whether the client has taken too long for a head or without one.
+// isLate reports whether the client has taken too long for a head, without one, or to read a part of a response.
 func (c *conn) isLate(now time.Time, limits Limits) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if !c.writing.IsZero() {
+		return now.Sub(c.writing) > limits.IdleTimeout
+	}
 	switch c.phase {
 	case awaitingHead:
 		return now.Sub(c.since) > limits.IdleTimeout
@@ -254,8 +275,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
+	case !c.writing.IsZero() && c.limiter.now().Sub(c.writing) > slowWrite:
+		return awaitsClient, c.writing
 	case c.phase == readingBody:
-		return awaitsBody, c.since
+		return awaitsClient, c.since
 	case c.phase == headRead || c.phase == responding:
 		return needed, c.since
 	case c.served:
--- a/pkg/connlimit/limiter.go
+++ b/pkg/connlimit/limiter.go
@@ -20,7 +20,8 @@
 const (
 	awaitsFirstHead rank = iota
 	awaitsNextHead
-	awaitsBody
+	// awaitsClient means that the client sends a body or reads a response.
+	awaitsClient
 	// needed is the rank of connections that are not closed in favor of others.
 	needed
 )
@@ -143,7 +144,7 @@
 }
 
 // leastNeeded returns the connection to close first: one that awaits its first head, then one that awaits another head, then one that awaits
-// a body; among these, the one that has been waiting longest. It returns nil if all connections await a response.
+// a body or a client that reads; among these, the one that has been waiting longest. It returns nil if all connections await a response.
 func (l *Limiter) leastNeeded() *conn {
 	var found *conn
 	lowest, earliest := needed, time.Time{}
--- a/pkg/connlimit/main_test.go
+++ b/pkg/connlimit/main_test.go
@@ -1,9 +1,10 @@
 package connlimit
 
 import (
+	"os"
 	"testing"
 
 	"github.com/azuretiller/azuretiller/pkg/randomtest"
 )
 
-func TestMain(m *testing.M) { randomtest.Main(m) }
+func TestMain(m *testing.M) { os.Exit(randomtest.Main(m)) }
--- a/pkg/gateway/response.go
+++ b/pkg/gateway/response.go
@@ -59,10 +59,12 @@
 		h.Set("Content-Length", strconv.FormatInt(a.response.ContentLength, 10))
 	}
 	c.closeIfUnusable()
-	if a.response.RemainingBody != nil {
-		// A caller that does not read must not keep an endless body in memory.
-		_ = http.NewResponseController(c.writer).SetWriteDeadline(c.started.Add(c.timeout))
+	// A caller that does not read must not keep a body in memory, or its connection for good.
+	writeDeadline := c.started.Add(c.timeout)
+	if a.response.RemainingBody == nil {
+		writeDeadline = writeDeadline.Add(unreadResponseTimeout)
 	}
+	_ = http.NewResponseController(c.writer).SetWriteDeadline(writeDeadline)
 	c.writer.WriteHeader(a.response.Status)
 	_, _ = c.writer.Write(a.response.Body)
 	if a.response.RemainingBody == nil {
--- a/pkg/headlimit/counter_test.go
+++ b/pkg/headlimit/counter_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 
@@ -14,7 +15,7 @@
 	"github.com/azuretiller/azuretiller/pkg/randomtest"
 )
 
-func TestMain(m *testing.M) { randomtest.Main(m) }
+func TestMain(m *testing.M) { os.Exit(randomtest.Main(m)) }
 
 // countWhole counts a text byte by byte with a simple rule: a line that is empty, but for one carriage return, ends a head that has started.
 func countWhole(text []byte) (used, lines int, ended bool) {
