Serve pipelined idempotent requests of a connection concurrently

Requests that a caller sends before the first has been answered ran one after the other. A wrapper of the callers' connections examines the bytes that net/http reads, and serves plain GET and HEAD requests of idempotent routes before their turn; responses keep their order.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -24,6 +24,7 @@
 	"github.com/azuretiller/azuretiller/pkg/leader"
 	"github.com/azuretiller/azuretiller/pkg/member"
 	"github.com/azuretiller/azuretiller/pkg/message"
+	"github.com/azuretiller/azuretiller/pkg/pipeline"
 	"github.com/azuretiller/azuretiller/pkg/registrycache"
 	"github.com/azuretiller/azuretiller/pkg/servergate"
 	"github.com/azuretiller/azuretiller/pkg/timer"
@@ -79,8 +80,10 @@
 	ttl     atomic.Int64
 	socket  *datagram.Socket
 	gateway *gateway.Gateway
-	placer  *fallback.Placer
-	gate    *servergate.Gate
+	// pipeline accepts the connections of callers.
+	pipeline *pipeline.Listener
+	placer   *fallback.Placer
+	gate     *servergate.Gate
 
 	// runCtx ends when the VM stops.
 	runCtx context.Context
@@ -197,6 +200,8 @@
 	if err != nil {
 		return httpServer{}, nil, err
 	}
+	e.pipeline = pipeline.New(callers.listener, e.common, e.gateway, e.gateway.MayReadAhead)
+	callers.listener, callers.server.Handler, callers.server.ConnContext = e.pipeline, e.pipeline.Handler(), e.pipeline.ConnContext
 	resolver := gateway.NewResolver(e.common.Log, e.State, e.processSettings.CallerAddress, func() time.Duration { return time.Duration(e.ttl.Load()) })
 	for _, h := range []struct {
 		address string
@@ -240,9 +245,9 @@
 	e.gateway.StopAt(stopAt)
 	// Shutdown would drop requests that it reads from open connections, so at first only the listener is closed.
 	_ = callers.listener.Close()
-	e.common.Log.WithField("running", e.gateway.Running()).Info("closed to callers")
+	e.common.Log.WithField("running", e.running()).Info("closed to callers")
 	e.awaitRequests(ctx, stopAt)
-	if running := e.gateway.Running(); running > 0 {
+	if running := e.running(); running > 0 {
 		e.common.Log.WithField("running", running).Warn("requests cut")
 	} else {
 		ctx, cancel := context.WithTimeout(ctx, closeTimeout)
@@ -250,7 +255,7 @@
 		// An error means that connections without a running request are still open. Run closes them.
 		_ = callers.server.Shutdown(ctx)
 	}
-	e.common.Log.WithField("running", e.gateway.Running()).Info("left")
+	e.common.Log.WithField("running", e.running()).Info("left")
 }
 
 // acceptRequests tells the other VMs that this one is leaving, and returns after the given time.
@@ -272,11 +277,14 @@
 	ctx, cancel := context.WithDeadline(ctx, until)
 	defer cancel()
 	timer.Sleep(ctx, arrivalTime)
-	for e.gateway.Running() > 0 && ctx.Err() == nil {
+	for e.running() > 0 && ctx.Err() == nil {
 		timer.Sleep(ctx, drainPollInterval)
 	}
 }
 
+// running returns the number of requests that are being served or whose responses wait for their turn.
+func (e *Edge) running() int { return max(e.gateway.Running(), e.pipeline.Outstanding()) }
+
 // acceptTime returns how long a leaving VM accepts requests.
 func acceptTime(grace time.Duration) time.Duration {
 	return min(scale(grace, acceptShare), maxAcceptTime)
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -52,7 +52,7 @@
 }
 
 func newCall(g *Gateway, w http.ResponseWriter, r *http.Request) *call {
-	return &call{
+	c := &call{
 		gateway: g,
 		writer:  w,
 		request: r,
@@ -61,6 +61,10 @@
 		started: g.common.Clock.Now(),
 		id:      r.Header.Get(platform.HeaderAttempt),
 	}
+	if early, ok := w.(earlyWriter); ok {
+		c.started = early.ReadAt()
+	}
+	return c
 }
 
 // awaitReady waits up to maxLeaderWait for the first configuration or a new leader. After a restart of all VMs or the loss of the
@@ -88,11 +92,7 @@
 	if c.state.Config == nil {
 		return azuretiller.CodeNotReady
 	}
-	host := c.request.Host
-	if name, _, err := net.SplitHostPort(host); err == nil {
-		host = name
-	}
-	route, ok := c.state.Config.MatchHost(strings.ToLower(host), c.request.URL.Path)
+	route, ok := matchRoute(c.state.Config, c.request)
 	if !ok {
 		return azuretiller.CodeNoRoute
 	}
@@ -116,6 +116,15 @@
 	return azuretiller.CodeOK
 }
 
+// matchRoute returns the route of a request.
+func matchRoute(c *config.Config, r *http.Request) (config.Route, bool) {
+	host := r.Host
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	return c.MatchHost(strings.ToLower(host), r.URL.Path)
+}
+
 func (c *call) identifyTeam() azuretiller.Code {
 	if c.route.AllowAnonymous {
 		return azuretiller.CodeOK
@@ -156,10 +165,26 @@
 	c.fingerprint = d.Sum64()
 }
 
-// log writes the log line and records the metrics of the request.
+// log writes the log line and records the metrics of the request, for a request that was read ahead when its turn has come.
 func (c *call) log() {
+	elapsed := c.gateway.common.Clock.Now().Sub(c.started)
+	early, ok := c.writer.(earlyWriter)
+	if !ok {
+		c.logResult(elapsed, 0)
+		return
+	}
+	early.AfterTurn(func(waited time.Duration, delivered bool) {
+		if !delivered {
+			c.code = azuretiller.CodeCancelled
+			c.reason = "read ahead, but its turn did not come"
+		}
+		c.logResult(elapsed, waited)
+	})
+}
+
+// logResult writes the log line of a request whose response was complete after the given time, and then waited for its turn.
+func (c *call) logResult(elapsed, waited time.Duration) {
 	g := c.gateway
-	elapsed := g.common.Clock.Now().Sub(c.started)
 	mode := "led"
 	if c.withoutLeader {
 		mode = "alone"
@@ -182,6 +207,7 @@
 		"attempts": c.attempts,
 		"received": c.bytesReceived(),
 		"took":     elapsed,
+		"turn":     waited,
 		"mode":     mode,
 		"term":     c.state.Term,
 		"version":  version,
--- /dev/null
+++ b/pkg/pipeline/recorder.go
@@ -0,0 +1,252 @@
+package pipeline
+
+import (
+	"context"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/azuretiller/azuretiller"
+	"github.com/azuretiller/azuretiller/pkg/bytebudget"
+)
+
+// phase says what happens to what a handler writes.
+type phase int
+
+const (
+	// recording means that it is kept until the turn of the response, as far as the limits allow.
+	recording phase = iota
+	// copying means that the recorded part is being sent to the caller.
+	copying
+	// passing means that it is sent to the caller at once.
+	passing
+	// dropped means that the caller does not get the response.
+	dropped
+)
+
+var errDropped = errors.New("the response is not delivered")
+
+// recorder is the response writer of a request that was read ahead.
+type recorder struct {
+	clock  azuretiller.Clock
+	budget *bytebudget.Budget
+	ctx    context.Context
+	readAt time.Time
+
+	mu      sync.Mutex
+	changed *sync.Cond
+	header  http.Header
+	phase   phase
+	// status is 0 until the handler writes the header; sent is the header at that time.
+	status  int
+	sent    http.Header
+	readyAt time.Time
+	data    []byte
+	// caller is the writer to the caller during the phase passing.
+	caller        http.ResponseWriter
+	writeDeadline time.Time
+	// finished means that the handler returned; panicked is the value with which it panicked.
+	finished bool
+	panicked any
+	// waited is how long the response waited for its turn.
+	waited    time.Duration
+	afterTurn func(waited time.Duration, delivered bool)
+}
+
+func newRecorder(ctx context.Context, clock azuretiller.Clock, budget *bytebudget.Budget, readAt time.Time) *recorder {
+	r := &recorder{clock: clock, budget: budget, ctx: ctx, readAt: readAt, header: http.Header{}}
+	r.changed = sync.NewCond(&r.mu)
+	return r
+}
+
+// run calls the handler.
+func (r *recorder) run(h http.Handler, request *http.Request) {
+	stop := context.AfterFunc(r.ctx, r.wake)
+	defer stop()
+	defer func() {
+		panicked := recover()
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.finished, r.panicked = true, panicked
+		r.changed.Broadcast()
+	}()
+	h.ServeHTTP(r, request)
+}
+
+func (r *recorder) wake() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.changed.Broadcast()
+}
+
+// ReadAt returns the time at which the request was read.
+func (r *recorder) ReadAt() time.Time { return r.readAt }
+
+// AfterTurn calls f once: when the turn of the response has come, or when the response is dropped.
+func (r *recorder) AfterTurn(f func(waited time.Duration, delivered bool)) {
+	r.mu.Lock()
+	if r.phase == recording {
+		r.afterTurn = f
+		r.mu.Unlock()
+		return
+	}
+	waited, delivered := r.waited, r.phase != dropped
+	r.mu.Unlock()
+	f(waited, delivered)
+}
+
+// Header returns the header of the response.
+func (r *recorder) Header() http.Header { return r.header }
+
+// WriteHeader records the status and the header. Informational responses are not recorded.
+func (r *recorder) WriteHeader(status int) {
+	if status < http.StatusOK {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.writeHeader(status)
+}
+
+func (r *recorder) writeHeader(status int) {
+	if r.status != 0 {
+		return
+	}
+	r.status, r.sent, r.readyAt = status, r.header.Clone(), r.clock.Now()
+	r.changed.Broadcast()
+}
+
+// Write records a part of the body, or waits for the turn of the response and sends it.
+func (r *recorder) Write(p []byte) (int, error) {
+	r.mu.Lock()
+	r.writeHeader(http.StatusOK)
+	if r.phase == recording && len(r.data)+len(p) <= maxResponse && r.budget.Take(int64(len(p))) {
+		r.data = append(r.data, p...)
+		r.mu.Unlock()
+		return len(p), nil
+	}
+	err := r.awaitPassing()
+	caller := r.caller
+	r.mu.Unlock()
+	if err != nil {
+		return 0, err
+	}
+	return caller.Write(p)
+}
+
+// awaitPassing waits until the recorded part has been sent.
+func (r *recorder) awaitPassing() error {
+	for r.phase != passing {
+		switch {
+		case r.phase == dropped:
+			return errDropped
+		case r.ctx.Err() != nil:
+			return r.ctx.Err()
+		case !r.writeDeadline.IsZero() && !time.Now().Before(r.writeDeadline):
+			return os.ErrDeadlineExceeded
+		case r.writeDeadline.IsZero():
+			r.changed.Wait()
+		default:
+			timer := time.AfterFunc(time.Until(r.writeDeadline), r.wake)
+			r.changed.Wait()
+			timer.Stop()
+		}
+	}
+	return nil
+}
+
+// Flush sends what net/http has buffered, if the turn of the response has come.
+func (r *recorder) Flush() {
+	r.mu.Lock()
+	caller := r.caller
+	r.mu.Unlock()
+	if caller != nil {
+		_ = http.NewResponseController(caller).Flush()
+	}
+}
+
+// SetWriteDeadline limits the time of writes to the caller and of the wait for the turn of the response.
+func (r *recorder) SetWriteDeadline(t time.Time) error {
+	r.mu.Lock()
+	r.writeDeadline = t
+	caller := r.caller
+	r.changed.Broadcast()
+	r.mu.Unlock()
+	if caller == nil {
+		return nil
+	}
+	return http.NewResponseController(caller).SetWriteDeadline(t)
+}
+
+// SetReadDeadline has no effect, since the request has no body.
+func (r *recorder) SetReadDeadline(time.Time) error { return nil }
+
+// EnableFullDuplex has no effect, since the request has no body.
+func (r *recorder) EnableFullDuplex() error { return nil }
+
+// deliver sends the response to the caller and returns when the handler has returned. It panics if the handler panicked.
+func (r *recorder) deliver(w http.ResponseWriter) {
+	r.mu.Lock()
+	turn := r.clock.Now()
+	if r.status != 0 {
+		r.waited = max(turn.Sub(r.readyAt), 0)
+	}
+	for r.status == 0 && !r.finished {
+		r.changed.Wait()
+	}
+	r.phase = copying
+	status, data, afterTurn, writeDeadline := r.status, r.data, r.afterTurn, r.writeDeadline
+	r.afterTurn = nil
+	r.mu.Unlock()
+	if afterTurn != nil {
+		afterTurn(r.waited, true)
+	}
+	if status != 0 {
+		h := w.Header()
+		for name, values := range r.sent {
+			h[name] = values
+		}
+		if !writeDeadline.IsZero() {
+			_ = http.NewResponseController(w).SetWriteDeadline(writeDeadline)
+		}
+		w.WriteHeader(status)
+		if len(data) > 0 {
+			// As with a response that is not recorded, net/http closes the connection if it cannot be written.
+			_, _ = w.Write(data)
+		}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.release()
+	r.phase, r.caller = passing, w
+	r.changed.Broadcast()
+	for !r.finished {
+		r.changed.Wait()
+	}
+	r.caller = nil
+	if r.panicked != nil {
+		panic(r.panicked)
+	}
+}
+
+// drop discards the response.
+func (r *recorder) drop() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.phase = dropped
+	r.release()
+	r.changed.Broadcast()
+	if r.afterTurn != nil {
+		// The function may write a log line, for which the connection must not wait.
+		go r.afterTurn(0, false)
+		r.afterTurn = nil
+	}
+}
+
+func (r *recorder) release() {
+	r.budget.Put(int64(len(r.data)))
+	r.data = nil
+}
--- /dev/null
+++ b/pkg/pipeline/serve.go
@@ -0,0 +1,106 @@
+package pipeline
+
+import (
+	"maps"
+	"net/http"
+	"slices"
+	"time"
+)
+
+// serve serves the next request that net/http read.
+func (c *conn) serve(w http.ResponseWriter, r *http.Request) {
+	p, inStep := c.enter(r)
+	completed := false
+	defer func() { c.finish(p, completed) }()
+	if c.ctx.Err() != nil || !inStep {
+		panic(http.ErrAbortHandler)
+	}
+	if r.ContentLength == 0 {
+		// For a request with a body, nothing is read ahead, and http.MaxBytesReader needs the writer of net/http.
+		w = &writer{ResponseWriter: w, conn: c}
+	}
+	if p == nil {
+		c.listener.inner.ServeHTTP(w, r)
+	} else {
+		p.response.deliver(w)
+	}
+	completed = true
+}
+
+// enter counts a request that net/http read, and returns it if it was served ahead. It reports whether it is the same request then.
+func (c *conn) enter(r *http.Request) (served *prepared, inStep bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	index := c.entered
+	c.entered++
+	if index >= c.parsed {
+		// net/http found a request that the framer did not find.
+		c.framer.lose()
+	}
+	c.current = r
+	inStep = true
+	if len(c.queue) > 0 && c.queue[0].index <= index {
+		first := c.queue[0]
+		inStep = first.index == index && isSameRequest(first.request, r)
+		if first.response == nil {
+			c.listener.slots.Put(1)
+		} else {
+			served = first
+		}
+		c.queue = slices.Delete(c.queue, 0, 1)
+	}
+	if inStep {
+		c.serveQueue()
+	}
+	return served, inStep
+}
+
+// finish ends a request. Unless it was completed, net/http closes the connection.
+func (c *conn) finish(p *prepared, completed bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if p != nil {
+		p.cancel()
+		c.listener.slots.Put(1)
+		c.listener.outstanding.Add(-1)
+		if !completed {
+			p.response.drop()
+		}
+	}
+	c.finished++
+	c.current = nil
+	if !completed {
+		c.stop()
+		return
+	}
+	if !c.closing && c.parsed == c.finished && !c.framer.isInHead() && c.framer.body == 0 && len(c.unread) == 0 {
+		c.serial = false
+	}
+	c.resume()
+	c.releaseIfUnused()
+	if c.inSocket && !c.isBehind() {
+		// net/http reads the socket from now on.
+		_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+	}
+	c.changed.Broadcast()
+}
+
+// mayClose reports whether the response to the current request may close the connection. If it may, no further request is served.
+func (c *conn) mayClose() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, p := range c.queue {
+		if p.response != nil {
+			return false
+		}
+	}
+	c.serial, c.closing = true, true
+	c.dropFrom(0)
+	return true
+}
+
+// isSameRequest reports whether net/http read the request that was served.
+func isSameRequest(served, read *http.Request) bool {
+	return served.Method == read.Method && served.RequestURI == read.RequestURI && served.Host == read.Host && served.Proto == read.Proto &&
+		read.ContentLength == 0 && len(read.TransferEncoding) == 0 && maps.EqualFunc(served.Header, read.Header, slices.Equal[[]string])
+}
