--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -283,7 +283,13 @@
 }
 
 // running returns the number of requests that are being served or whose responses wait for their turn.
-func (e *Edge) running() int { return max(e.gateway.Running(), e.pipeline.Outstanding()) }
+func (e *Edge) running() int {
+	if e.pipeline == nil {
+		// The listeners are not open yet.
+		return e.gateway.Running()
+	}
+	return max(e.gateway.Running(), e.pipeline.Outstanding())
+}
 
 // acceptTime returns how long a leaving VM accepts requests.
 func acceptTime(grace time.Duration) time.Duration {
--- a/pkg/pipeline/ahead.go
+++ b/pkg/pipeline/ahead.go
@@ -163,16 +163,11 @@
 	if c.current == nil || len(c.queue) == 0 || c.closing {
 		return
 	}
-	if !c.listener.mayReadAhead(c.current) {
-		c.serial = true
-		c.dropFrom(0)
-		return
-	}
 	for i, p := range c.queue {
 		if p.response != nil {
 			continue
 		}
-		if !c.listener.mayReadAhead(p.request) {
+		if !c.listener.mayReadAhead(c.current) || !c.listener.mayReadAhead(p.request) {
 			c.serial = true
 			c.dropFrom(i)
 			return
--- a/pkg/pipeline/serve.go
+++ b/pkg/pipeline/serve.go
@@ -51,6 +51,7 @@
 	}
 	if inStep {
 		c.serveQueue()
+		c.resume()
 	}
 	return served, inStep
 }
@@ -76,7 +77,10 @@
 	if !c.closing && c.parsed == c.finished && !c.framer.isInHead() && c.framer.body == 0 && len(c.unread) == 0 {
 		c.serial = false
 	}
-	c.resume()
+	if c.parsed == c.finished {
+		// The head that waits for a place is that of the next request.
+		c.resume()
+	}
 	c.releaseIfUnused()
 	if c.inSocket && !c.isBehind() {
 		// net/http reads the socket from now on.
