--- a/pkg/pipeline/recorder.go
+++ b/pkg/pipeline/recorder.go
@@ -45,7 +45,9 @@
 	sent    http.Header
 	readyAt time.Time
 	data    []byte
-	// caller is the writer to the caller during the phase passing.
+	// flushed is the size of the part of data that the handler flushed, or -1 if it flushed nothing.
+	flushed int
+	// caller is the writer to the caller during the phases copying and passing.
 	caller        http.ResponseWriter
 	writeDeadline time.Time
 	// finished means that the handler returned; panicked is the value with which it panicked.
@@ -57,7 +59,7 @@
 }
 
 func newRecorder(ctx context.Context, clock azuretiller.Clock, budget *bytebudget.Budget, readAt time.Time) *recorder {
-	r := &recorder{clock: clock, budget: budget, ctx: ctx, readAt: readAt, header: http.Header{}}
+	r := &recorder{clock: clock, budget: budget, ctx: ctx, readAt: readAt, header: http.Header{}, flushed: -1}
 	r.changed = sync.NewCond(&r.mu)
 	return r
 }
@@ -158,9 +160,16 @@
 	return nil
 }
 
-// Flush sends what net/http has buffered, if the turn of the response has come.
+// Flush sends what net/http has buffered when the turn of the response has come.
 func (r *recorder) Flush() {
 	r.mu.Lock()
+	r.writeHeader(http.StatusOK)
+	switch r.phase {
+	case recording:
+		r.flushed = len(r.data)
+	case copying:
+		_ = r.awaitPassing()
+	}
 	caller := r.caller
 	r.mu.Unlock()
 	if caller != nil {
@@ -197,31 +206,18 @@
 	for r.status == 0 && !r.finished {
 		r.changed.Wait()
 	}
-	r.phase = copying
-	status, data, afterTurn, writeDeadline := r.status, r.data, r.afterTurn, r.writeDeadline
+	r.phase, r.caller = copying, w
+	afterTurn := r.afterTurn
 	r.afterTurn = nil
 	r.mu.Unlock()
 	if afterTurn != nil {
 		afterTurn(r.waited, true)
 	}
-	if status != 0 {
-		h := w.Header()
-		for name, values := range r.sent {
-			h[name] = values
-		}
-		if !writeDeadline.IsZero() {
-			_ = http.NewResponseController(w).SetWriteDeadline(writeDeadline)
-		}
-		w.WriteHeader(status)
-		if len(data) > 0 {
-			// As with a response that is not recorded, net/http closes the connection if it cannot be written.
-			_, _ = w.Write(data)
-		}
-	}
+	r.copy(w)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.release()
-	r.phase, r.caller = passing, w
+	r.phase = passing
 	r.changed.Broadcast()
 	for !r.finished {
 		r.changed.Wait()
@@ -232,6 +228,33 @@
 	}
 }
 
+// copy sends the recorded part of the response. If it cannot be written, net/http closes the connection afterwards.
+func (r *recorder) copy(w http.ResponseWriter) {
+	r.mu.Lock()
+	status, data, flushed, writeDeadline := r.status, r.data, r.flushed, r.writeDeadline
+	r.mu.Unlock()
+	if status == 0 {
+		return
+	}
+	h := w.Header()
+	for name, values := range r.sent {
+		h[name] = values
+	}
+	controller := http.NewResponseController(w)
+	if !writeDeadline.IsZero() {
+		_ = controller.SetWriteDeadline(writeDeadline)
+	}
+	w.WriteHeader(status)
+	if flushed >= 0 {
+		_, _ = w.Write(data[:flushed])
+		_ = controller.Flush()
+		data = data[flushed:]
+	}
+	if len(data) > 0 {
+		_, _ = w.Write(data)
+	}
+}
+
 // drop discards the response.
 func (r *recorder) drop() {
 	r.mu.Lock()
