--- a/cmd/standin/pkg/fleet/pipeline_test.go
+++ b/cmd/standin/pkg/fleet/pipeline_test.go
@@ -53,14 +53,15 @@
 	require.NoError(t, err)
 }
 
-func (p *pipelined) receive(t *testing.T) *http.Response {
+// receive reads a response and returns its status, its id and whether it closes the connection.
+func (p *pipelined) receive(t *testing.T) (status int, attempt string, closes bool) {
 	t.Helper()
 	response, err := http.ReadResponse(p.reader, nil)
 	require.NoError(t, err)
 	_, err = io.Copy(io.Discard, response.Body)
 	require.NoError(t, err)
 	require.NoError(t, response.Body.Close())
-	return response
+	return response.StatusCode, response.Header.Get(platform.HeaderAttempt), response.Close
 }
 
 // runsAt returns when a server got the request with the given id.
@@ -94,16 +95,16 @@
 		eventually(t, "all reads run", func() bool { return f.countRuns(fmt.Sprint("r-", i)) > 0 })
 	}
 	for i := range reads {
-		response := c.receive(t)
-		assert.Equal(t, 504, response.StatusCode, "the servers do not respond within the deadline")
-		assert.Equal(t, fmt.Sprint("r-", i), response.Header.Get(platform.HeaderAttempt))
+		status, attempt, _ := c.receive(t)
+		assert.Equal(t, 504, status, "the servers do not respond within the deadline")
+		assert.Equal(t, fmt.Sprint("r-", i), attempt)
 	}
 	f.setServers(backendserver.Healthy, 0)
 	c.send(t, text)
 	for i := range reads {
-		response := c.receive(t)
-		assert.Equal(t, 200, response.StatusCode)
-		assert.Equal(t, fmt.Sprint("r-", i), response.Header.Get(platform.HeaderAttempt))
+		status, attempt, _ := c.receive(t)
+		assert.Equal(t, 200, status)
+		assert.Equal(t, fmt.Sprint("r-", i), attempt)
 	}
 }
 
@@ -118,9 +119,9 @@
 		requestText("GET", "/orders/1", "second", 0)+requestText("GET", "/reads/1", "last", 0))
 	previous := time.Time{}
 	for _, attempt := range []string{"read", "order", "second", "last"} {
-		response := c.receive(t)
-		assert.Equal(t, 200, response.StatusCode)
-		assert.Equal(t, attempt, response.Header.Get(platform.HeaderAttempt))
+		status, answered, _ := c.receive(t)
+		assert.Equal(t, 200, status)
+		assert.Equal(t, attempt, answered)
 		at := f.runsAt(t, attempt)
 		assert.GreaterOrEqual(t, at.Sub(previous), serviceTime, "%s was sent after the response to the request before it", attempt)
 		previous = at
@@ -178,9 +179,9 @@
 	eventually(t, "the VM is leaving", func() bool { return f.vms[stopping].edge.State().Leaving })
 	c.send(t, requestText("GET", "/reads/1", "late", 0))
 	for i := range reads {
-		response := c.receive(t)
-		assert.Equal(t, 200, response.StatusCode)
-		assert.Equal(t, i == reads-1, response.Close, "the last response closes the connection")
+		status, _, closes := c.receive(t)
+		assert.Equal(t, 200, status)
+		assert.Equal(t, i == reads-1, closes, "the last response closes the connection")
 	}
 	_, err := c.reader.ReadByte()
 	assert.ErrorIs(t, err, io.EOF, "the connection is not reset")
