End writes to callers that do not read

A complete response was written without a time limit: it stayed in memory and kept the slot of its server for as long as the caller did not read, while the budget for buffered bodies counts it until the timeout of the request. The result is now reported before the response is written, and writes end at the timeout; those of refusals after 2 s, and those of responses whose turn came late not before 2 s.

--- a/pkg/gateway/params.go
+++ b/pkg/gateway/params.go
@@ -50,6 +50,8 @@
 	maxBufferedRequests = 32 << 20
 	// unreadBodyTimeout is how long a caller may take to send the rest of a body that is not needed.
 	unreadBodyTimeout = 2 * time.Second
+	// refusalTimeout is how long a caller may take to read a refusal.
+	refusalTimeout = 2 * time.Second
 	// maxUnreadBody is the size in bytes of the rest of a body up to which it is read, so that the connection is kept. net/http has the same limit.
 	maxUnreadBody = 256 << 10
 	// copyBufferSize is the size in bytes of the buffer through which the rest of a long response is copied.
--- a/pkg/gateway/response.go
+++ b/pkg/gateway/response.go
@@ -17,6 +17,12 @@
 // deliver sends a successful response to the caller and reports the result to the leader.
 func (c *call) deliver(a attempt) {
 	c.code = azuretiller.CodeOK
+	if a.response.RemainingBody == nil {
+		// The server has finished, while the caller may still read for long.
+		c.reportResult(a)
+		c.forward(a)
+		return
+	}
 	started := c.gateway.common.Clock.Now()
 	if result := c.forward(a); result != message.Succeeded {
 		a.elapsed += c.gateway.common.Clock.Now().Sub(started)
@@ -59,10 +65,8 @@
 		h.Set("Content-Length", strconv.FormatInt(a.response.ContentLength, 10))
 	}
 	c.closeIfUnusable()
-	if a.response.RemainingBody != nil {
-		// A caller that does not read must not keep an endless body in memory.
-		_ = http.NewResponseController(c.writer).SetWriteDeadline(c.started.Add(c.timeout))
-	}
+	// A caller that does not read must not keep a body in memory.
+	_ = http.NewResponseController(c.writer).SetWriteDeadline(c.started.Add(c.timeout))
 	c.writer.WriteHeader(a.response.Status)
 	_, _ = c.writer.Write(a.response.Body)
 	if a.response.RemainingBody == nil {
@@ -104,6 +108,7 @@
 		c.body.keepConnection = c.body.isRestSmall()
 	}
 	c.closeIfUnusable()
+	_ = http.NewResponseController(c.writer).SetWriteDeadline(c.gateway.common.Clock.Now().Add(refusalTimeout))
 	c.writer.WriteHeader(info.Status)
 	_, _ = io.WriteString(c.writer, info.Name+"\n")
 }
--- a/pkg/pipeline/close_test.go
+++ b/pkg/pipeline/close_test.go
@@ -161,3 +161,39 @@
 		assert.False(t, <-ends)
 	})
 }
+
+// TestLateTurnLeavesTimeToRead guards against responses that are cut because earlier ones of their connection took long, and against callers
+// that never read and keep recorded responses in memory.
+func TestLateTurnLeavesTimeToRead(t *testing.T) {
+	for _, reads := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			const firstTakes, size = 5 * time.Second, 100 << 10
+			s := startServer(t, func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path == "/safe/1" {
+					time.Sleep(firstTakes)
+					return
+				}
+				assert.NoError(t, http.NewResponseController(w).SetWriteDeadline(time.Now().Add(time.Second)))
+				w.Header().Set("Content-Length", fmt.Sprint(size))
+				_, err := w.Write(make([]byte, size))
+				assert.NoError(t, err)
+			})
+			c := s.dial()
+			c.send(gets("/safe/1", "/safe/2", "/safe/3"))
+			c.receive(t)
+			time.Sleep(minReadTime - time.Nanosecond)
+			synctest.Wait()
+			assert.Equal(t, 2, s.Outstanding())
+			if reads {
+				for range 2 {
+					_, body := c.receive(t)
+					assert.Len(t, body, size)
+				}
+			}
+			time.Sleep(time.Second)
+			synctest.Wait()
+			assert.Zero(t, s.Outstanding())
+			requireNothingHeld(t, s)
+		})
+	}
+}
--- a/pkg/pipeline/params.go
+++ b/pkg/pipeline/params.go
@@ -24,6 +24,9 @@
 	maxResponse = 1 << 20
 	// maxResponses is the size in bytes of all recorded responses of a VM.
 	maxResponses = 4 << 20
+	// minReadTime is how long a caller may take at least to read the recorded part of a response whose write deadline has passed, since
+	// earlier responses took long.
+	minReadTime = 2 * time.Second
 	// lingerTime is how long a connection with unread bytes is read after its last response. Closing it earlier resets it, which can
 	// destroy that response. net/http waits equally long.
 	lingerTime = 500 * time.Millisecond
--- a/pkg/pipeline/recorder.go
+++ b/pkg/pipeline/recorder.go
@@ -242,6 +242,9 @@
 	}
 	controller := http.NewResponseController(w)
 	if !writeDeadline.IsZero() {
+		if earliest := time.Now().Add(minReadTime); writeDeadline.Before(earliest) {
+			writeDeadline = earliest
+		}
 		_ = controller.SetWriteDeadline(writeDeadline)
 	}
 	w.WriteHeader(status)
