--- a/pkg/pipeline/head.go
+++ b/pkg/pipeline/head.go
@@ -39,7 +39,7 @@
 		}
 		lines++
 		value = strings.Trim(value, " \t")
-		switch strings.ToLower(name) {
+		switch connectionHeader(name) {
 		case "host":
 			hosts++
 			if !isHost(value) {
@@ -56,7 +56,7 @@
 			return head{}
 		case "connection":
 			h.plain = h.plain && strings.EqualFold(value, "keep-alive")
-		case "expect", "upgrade", "trailer", "http2-settings", "proxy-connection", "keep-alive", "te":
+		case "other":
 			h.plain = false
 		}
 	}
@@ -69,24 +69,62 @@
 
 // splitRequestLine returns the method and the target of an HTTP/1.1 request line.
 func splitRequestLine(line string) (method, target string, ok bool) {
-	parts := strings.Split(line, " ")
-	if len(parts) != 3 || !isToken(parts[0]) || parts[2] != "HTTP/1.1" || !isText(parts[1]) {
-		return "", "", false
+	line, ok = strings.CutSuffix(line, " HTTP/1.1")
+	method, target, separated := strings.Cut(line, " ")
+	return method, target, ok && separated && isToken(method) && isVisible(target) && method != http.MethodConnect
+}
+
+// connectionHeader returns the name in lower case if it is one of the headers that affect the framing or the connection, without an
+// allocation, and otherwise an empty string.
+func connectionHeader(name string) string {
+	const longest = len("transfer-encoding")
+	if len(name) > longest {
+		return ""
+	}
+	var lower [longest]byte
+	for i := range len(name) {
+		lower[i] = name[i]
+		if 'A' <= name[i] && name[i] <= 'Z' {
+			lower[i] += 'a' - 'A'
+		}
+	}
+	switch s := lower[:len(name)]; string(s) {
+	case "host":
+		return "host"
+	case "content-length":
+		return "content-length"
+	case "transfer-encoding":
+		return "transfer-encoding"
+	case "connection":
+		return "connection"
+	case "expect", "upgrade", "trailer", "http2-settings", "proxy-connection", "keep-alive", "te":
+		return "other"
 	}
-	return parts[0], parts[1], parts[0] != http.MethodConnect
+	return ""
 }
 
 // isToken reports whether s consists of the characters that net/http allows in names.
 func isToken(s string) bool {
 	for i := range len(s) {
 		c := s[i]
-		if c <= ' ' || c >= 0x7f || strings.IndexByte("\"(),/:;<=>?@[\\]{}", c) >= 0 {
+		isAlphanumeric := 'a' <= c && c <= 'z' || 'A' <= c && c <= 'Z' || '0' <= c && c <= '9'
+		if !isAlphanumeric && (c <= ' ' || c >= 0x7f || strings.IndexByte("\"(),/:;<=>?@[\\]{}", c) >= 0) {
 			return false
 		}
 	}
 	return s != ""
 }
 
+// isVisible reports whether s consists of visible ASCII characters.
+func isVisible(s string) bool {
+	for i := range len(s) {
+		if s[i] <= ' ' || s[i] >= 0x7f {
+			return false
+		}
+	}
+	return true
+}
+
 // isText reports whether s contains no control characters other than tabs; a line break other than \r\n is one.
 func isText(s string) bool {
 	for i := range len(s) {
