--- a/pkg/pipeline/framer_test.go
+++ b/pkg/pipeline/framer_test.go
@@ -104,3 +104,33 @@
 	f.lose()
 	assert.True(t, budget.Take(1<<20), "memory is returned")
 }
+
+// TestHeadIsFoundInAnyPieces guards against connections that are served serially because a head arrived in pieces.
+func TestHeadIsFoundInAnyPieces(t *testing.T) {
+	text := get("/safe/1")
+	for piece := 1; piece <= len(text); piece++ {
+		f := framer{budget: bytebudget.New(maxHead)}
+		found := 0
+		for rest := strings.Repeat(text, 3); rest != ""; {
+			n, head := f.next([]byte(rest[:min(piece, len(rest))]))
+			rest = rest[n:]
+			if head != nil {
+				assert.Equal(t, text, string(head), "pieces of %d bytes", piece)
+				found++
+			}
+		}
+		assert.Equal(t, 3, found, "pieces of %d bytes", piece)
+	}
+}
+
+// TestHeadsInPiecesStayWithinBudget guards against callers that fill the memory with heads that never end.
+func TestHeadsInPiecesStayWithinBudget(t *testing.T) {
+	budget := bytebudget.New(10)
+	first, second := framer{budget: budget}, framer{budget: budget}
+	first.next([]byte("GET /a"))
+	second.next([]byte("GET /a"))
+	assert.False(t, first.lost)
+	assert.True(t, second.lost, "the connection is served serially")
+	first.lose()
+	assert.True(t, budget.Take(10))
+}
