--- a/pkg/pipeline/listener.go
+++ b/pkg/pipeline/listener.go
@@ -42,6 +42,10 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "accept")
 	}
+	if s, ok := socket.(interface{ SetWriteBuffer(bytes int) error }); ok {
+		// A failure only means that the buffer may grow further.
+		_ = s.SetWriteBuffer(maxWriteBuffer)
+	}
 	return newConn(l, socket), nil
 }
 
--- a/pkg/pipeline/params.go
+++ b/pkg/pipeline/params.go
@@ -27,6 +27,9 @@
 	// minReadTime is how long a caller may take at least to read the recorded part of a response whose write deadline has passed, since
 	// earlier responses took long.
 	minReadTime = 2 * time.Second
+	// maxWriteBuffer is the size in bytes of the operating system's buffer for responses to a caller, which would otherwise grow to several
+	// megabytes if the caller does not read. Linux doubles it for its own data.
+	maxWriteBuffer = 128 << 10
 	// lingerTime is how long a connection with unread bytes is read after its last response. Closing it earlier resets it, which can
 	// destroy that response. net/http waits equally long.
 	lingerTime = 500 * time.Millisecond
