Notice that a caller left behind more bytes than are read ahead

While the buffer of the reading goroutine was full, the end of the connection was not read, and requests went on until one was answered. The goroutine now asks for it every 0.1 s. The new test failed before, with requests and with a body behind two running reads.

--- a/pkg/pipeline/ahead.go
+++ b/pkg/pipeline/ahead.go
@@ -14,7 +14,7 @@
 	defer c.mu.Unlock()
 	for c.isBehind() && c.readErr == nil && !c.closed {
 		if len(c.unread) > maxReadAhead-readSize {
-			c.changed.Wait()
+			c.awaitSpace()
 			continue
 		}
 		c.inSocket = true
@@ -46,6 +46,16 @@
 	c.changed.Broadcast()
 }
 
+// awaitSpace waits for a change, or until it is time to check whether the caller is still there, which no read tells meanwhile.
+func (c *conn) awaitSpace() {
+	c.awaitUntil(time.Now().Add(hangUpInterval))
+	if !c.closed && hasHungUp(c.Conn) {
+		c.readErr = errHungUp
+		c.stop()
+		c.changed.Broadcast()
+	}
+}
+
 // isBehind reports whether bytes behind an unanswered request have arrived.
 func (c *conn) isBehind() bool {
 	unanswered := c.parsed - c.finished
--- a/pkg/pipeline/close_test.go
+++ b/pkg/pipeline/close_test.go
@@ -197,3 +197,37 @@
 		})
 	}
 }
+
+// TestDisconnectIsNoticedBehindManyBytes guards against requests that go on after their caller left, because it had sent more than is read
+// ahead.
+func TestDisconnectIsNoticedBehindManyBytes(t *testing.T) {
+	for name, rest := range map[string]string{
+		"requests": strings.Repeat(get("/safe/1"), 4*maxReadAhead/len(get("/safe/1"))),
+		"body":     fmt.Sprintf("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", 4*maxReadAhead, strings.Repeat("x", 4*maxReadAhead)),
+	} {
+		t.Run(name, func(t *testing.T) {
+			started, ended := make(chan struct{}, 99), make(chan time.Time, 99)
+			address := startOnLoopback(t, func(_ http.ResponseWriter, r *http.Request) {
+				started <- struct{}{}
+				<-r.Context().Done()
+				ended <- time.Now()
+			})
+			var dialer net.Dialer
+			c, err := dialer.DialContext(t.Context(), "tcp", address)
+			require.NoError(t, err)
+			_, err = io.WriteString(c, gets("/safe/1", "/safe/2")+rest)
+			require.NoError(t, err)
+			for range 2 {
+				<-started
+			}
+			require.NoError(t, c.Close())
+			for range 2 {
+				select {
+				case <-ended:
+				case <-time.After(testTimeout):
+					t.Fatal("a request goes on")
+				}
+			}
+		})
+	}
+}
--- a/pkg/pipeline/conn.go
+++ b/pkg/pipeline/conn.go
@@ -102,7 +102,12 @@
 		c.changed.Wait()
 		return
 	}
-	timer := time.AfterFunc(time.Until(c.deadline), func() {
+	c.awaitUntil(c.deadline)
+}
+
+// awaitUntil waits for a change, at most until the given time.
+func (c *conn) awaitUntil(end time.Time) {
+	timer := time.AfterFunc(time.Until(end), func() {
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		c.changed.Broadcast()
@@ -131,6 +136,9 @@
 	return ready, err
 }
 
+// errHungUp means that the caller closed the connection before the bytes that it had sent were read.
+var errHungUp = errors.New("the caller closed the connection")
+
 // isTimeout reports whether a deadline passed during a read.
 func isTimeout(err error) bool {
 	var netErr net.Error
--- a/pkg/pipeline/params.go
+++ b/pkg/pipeline/params.go
@@ -24,6 +24,9 @@
 	maxResponse = 1 << 20
 	// maxResponses is the size in bytes of all recorded responses of a VM.
 	maxResponses = 4 << 20
+	// hangUpInterval is the time between two checks whether a caller is still there while no more of what it sent can be read. Half a second
+	// after a caller left, no server may work on its requests.
+	hangUpInterval = 100 * time.Millisecond
 	// minReadTime is how long a caller may take at least to read the recorded part of a response whose write deadline has passed, since
 	// earlier responses took long.
 	minReadTime = 2 * time.Second
