--- a/pkg/connlimit/conn.go
+++ b/pkg/connlimit/conn.go
@@ -300,6 +300,9 @@
 	return errors.Wrap(c.Conn.Close(), "close connection")
 }
 
+// NetConn returns the wrapped connection.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
 // CloseWrite closes the sending side, so that net/http can send a response before it closes a connection with unread bytes.
 func (c *conn) CloseWrite() error {
 	if inner, ok := c.Conn.(interface{ CloseWrite() error }); ok {
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -26,6 +26,7 @@
 	"github.com/azuretiller/azuretiller/pkg/leader"
 	"github.com/azuretiller/azuretiller/pkg/member"
 	"github.com/azuretiller/azuretiller/pkg/message"
+	"github.com/azuretiller/azuretiller/pkg/pipeline"
 	"github.com/azuretiller/azuretiller/pkg/registrycache"
 	"github.com/azuretiller/azuretiller/pkg/servergate"
 	"github.com/azuretiller/azuretiller/pkg/timer"
@@ -76,8 +77,10 @@
 	ttl     atomic.Int64
 	socket  *datagram.Socket
 	gateway *gateway.Gateway
-	placer  *fallback.Placer
-	gate    *servergate.Gate
+	// pipeline accepts the connections of callers.
+	pipeline *pipeline.Listener
+	placer   *fallback.Placer
+	gate     *servergate.Gate
 
 	// runCtx ends when the VM stops.
 	runCtx context.Context
@@ -191,7 +194,7 @@
 // listenHTTP opens the listeners of the VM. It returns the server for callers' requests and the others.
 func (e *Edge) listenHTTP(ctx context.Context) (callers httpServer, others []httpServer, err error) {
 	heads := bytebudget.New(e.headMemory())
-	callers, err = newHTTPServer(ctx, e.processSettings.CallerAddress, e.gateway, e.newLimiter(heads, e.maxCallerConns()))
+	callers, err = e.listenCallers(ctx, e.newLimiter(heads, e.maxCallerConns()))
 	if err != nil {
 		return httpServer{}, nil, err
 	}
@@ -213,19 +216,43 @@
 	return callers, others, nil
 }
 
+// listenCallers opens the listener for callers. The limiter counts what net/http reads, so that the requests that are read ahead lie below it.
+func (e *Edge) listenCallers(ctx context.Context, limiter *connlimit.Limiter) (httpServer, error) {
+	l, err := listen(ctx, e.processSettings.CallerAddress)
+	if err != nil {
+		return httpServer{}, err
+	}
+	e.pipeline = pipeline.New(l, e.common, e.gateway, e.gateway.MayReadAhead)
+	callers := limitedServer(ctx, e.pipeline, e.pipeline.Handler(), limiter)
+	callers.server.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		return e.pipeline.ConnContext(limiter.ConnContext(ctx, c), c)
+	}
+	return callers, nil
+}
+
 func newHTTPServer(ctx context.Context, address string, handler http.Handler, limiter *connlimit.Limiter) (httpServer, error) {
-	listenConfig := net.ListenConfig{Control: limitReceiveBuffer}
-	l, err := listenConfig.Listen(ctx, "tcp", address)
+	l, err := listen(ctx, address)
 	if err != nil {
-		return httpServer{}, errors.Wrapf(err, "listen on %s", address)
+		return httpServer{}, err
 	}
+	return limitedServer(ctx, l, handler, limiter), nil
+}
+
+func listen(ctx context.Context, address string) (net.Listener, error) {
+	listenConfig := net.ListenConfig{Control: limitReceiveBuffer}
+	l, err := listenConfig.Listen(ctx, "tcp", address)
+	return l, errors.Wrapf(err, "listen on %s", address)
+}
+
+// limitedServer returns a server with the limits for clients. They take the place of the time and size limits of net/http, which cannot
+// follow the configuration.
+func limitedServer(ctx context.Context, l net.Listener, handler http.Handler, limiter *connlimit.Limiter) httpServer {
 	go limiter.Run(ctx)
-	// The limiter takes the place of the time and size limits of net/http, which cannot follow the configuration.
 	return httpServer{listener: limiter.Listen(l), server: &http.Server{
 		Handler:     limiter.Handler(handler),
 		ConnContext: limiter.ConnContext,
 		ConnState:   limiter.ConnState,
-	}}, nil
+	}}
 }
 
 // drain announces that this VM is leaving, accepts requests until callers use other VMs, and then waits for the running ones.
@@ -239,9 +266,9 @@
 	e.gateway.StopAt(stopAt)
 	// Shutdown would drop requests that it reads from open connections, so at first only the listener is closed.
 	_ = callers.listener.Close()
-	e.common.Log.WithField("running", e.gateway.Running()).Info("closed to callers")
+	e.common.Log.WithField("running", e.running()).Info("closed to callers")
 	e.awaitRequests(ctx, stopAt)
-	if running := e.gateway.Running(); running > 0 {
+	if running := e.running(); running > 0 {
 		e.common.Log.WithField("running", running).Warn("requests cut")
 	} else {
 		ctx, cancel := context.WithTimeout(ctx, closeTimeout)
@@ -249,7 +276,7 @@
 		// An error means that connections without a running request are still open. Run closes them.
 		_ = callers.server.Shutdown(ctx)
 	}
-	e.common.Log.WithField("running", e.gateway.Running()).Info("left")
+	e.common.Log.WithField("running", e.running()).Info("left")
 }
 
 // acceptRequests tells the other VMs that this one is leaving, and returns after the given time.
@@ -271,11 +298,20 @@
 	ctx, cancel := context.WithDeadline(ctx, until)
 	defer cancel()
 	timer.Sleep(ctx, arrivalTime)
-	for e.gateway.Running() > 0 && ctx.Err() == nil {
+	for e.running() > 0 && ctx.Err() == nil {
 		timer.Sleep(ctx, drainPollInterval)
 	}
 }
 
+// running returns the number of requests that are being served or whose responses wait for their turn.
+func (e *Edge) running() int {
+	if e.pipeline == nil {
+		// The listeners are not open yet.
+		return e.gateway.Running()
+	}
+	return max(e.gateway.Running(), e.pipeline.Outstanding())
+}
+
 // acceptTime returns how long a leaving VM accepts requests.
 func acceptTime(grace time.Duration) time.Duration {
 	return min(scale(grace, acceptShare), maxAcceptTime)
--- a/pkg/gateway/response.go
+++ b/pkg/gateway/response.go
@@ -17,6 +17,12 @@
 // deliver sends a successful response to the caller and reports the result to the leader.
 func (c *call) deliver(a attempt) {
 	c.code = azuretiller.CodeOK
+	if a.response.RemainingBody == nil {
+		// The server has finished, while the caller may still read for long.
+		c.reportResult(a)
+		c.forward(a)
+		return
+	}
 	started := c.gateway.common.Clock.Now()
 	if result := c.forward(a); result != message.Succeeded {
 		a.elapsed += c.gateway.common.Clock.Now().Sub(started)
@@ -106,6 +112,7 @@
 		c.body.keepConnection = c.body.isRestSmall()
 	}
 	c.closeIfUnusable()
+	_ = http.NewResponseController(c.writer).SetWriteDeadline(c.gateway.common.Clock.Now().Add(refusalTimeout))
 	c.writer.WriteHeader(info.Status)
 	_, _ = io.WriteString(c.writer, info.Name+"\n")
 }
