Decode orders, versions and stored progress of rollouts

Cause: the platform names versions of servers and orders for rollouts, which were ignored. The scheduler asks an Exposer before it uses servers on trial.

--- a/backend_server.go
+++ b/backend_server.go
@@ -12,6 +12,7 @@
 	// Address is the host:port the server listens on.
 	Address string
 	Zone    Zone
+	Version Version
 	// Slots is the number of requests the server runs concurrently.
 	Slots    int
 	Draining bool
--- a/pkg/registrycache/cache.go
+++ b/pkg/registrycache/cache.go
@@ -26,6 +26,7 @@
 	holds map[azuretiller.Zone]zoneHold
 	// returnedAt is when each zone was put back into service, as its servers may be cold then.
 	returnedAt map[azuretiller.Zone]time.Time
+	orders     orders
 	history    readHistory
 	// former is what was known of the servers before the last Rewind.
 	former       Former
@@ -55,6 +56,7 @@
 		outOfService: map[azuretiller.Zone]bool{},
 		holds:        map[azuretiller.Zone]zoneHold{},
 		returnedAt:   map[azuretiller.Zone]time.Time{},
+		orders:       newOrders(),
 	}
 }
 
@@ -89,9 +91,13 @@
 		from = fromCompletePage
 	}
 	rc.settingsNext = page.Next
+	rc.orders.apply(now, page, from)
 	var newestConfig []byte
 	listed := map[azuretiller.Zone]bool{}
 	for _, c := range page.Changes {
+		if c.Rollout != nil {
+			continue
+		}
 		if c.Config != nil {
 			newestConfig = c.Config
 			continue
@@ -284,6 +290,7 @@
 			ID:          id,
 			Address:     e.server.Address,
 			Zone:        e.server.Zone,
+			Version:     e.server.Version,
 			Slots:       e.server.Slots,
 			Closed:      e.server.Draining || now.Before(e.unconfirmedUntil) || rc.zoneOut(now, e.server.Zone),
 			ColdUntil:   coldUntil,
--- a/pkg/scheduler/choose.go
+++ b/pkg/scheduler/choose.go
@@ -17,7 +17,7 @@
 	bestScore := math.Inf(-1)
 	bestFullSuccess := 0.0
 	for _, s := range sc.servers {
-		if slices.Contains(w.Tried, s.ID) || !s.availableTo(w.Key.From, now) {
+		if slices.Contains(w.Tried, s.ID) || !s.availableTo(w.Key.From, now) || s.Trial && !sc.mayExpose(now, s, w) {
 			continue
 		}
 		if s.freeCapacity(now) <= 0 {
@@ -62,6 +62,9 @@
 	if s.lastRequestStart.IsZero() {
 		score += newServerBonus
 	}
+	if s.Trial {
+		score += trialBonus
+	}
 	if preferUnused && now.Sub(s.lastRequestStart) > coverageWindow && s.healthy(now, recoveredAfter) {
 		score += coverageBonus
 	}
@@ -89,7 +92,7 @@
 	}
 	var healthy, recovered coverage
 	for _, s := range sc.servers {
-		if !s.acceptsRequests(now) {
+		if !s.acceptsRequests(now) || s.Trial {
 			continue
 		}
 		used := now.Sub(s.lastRequestStart) <= coverageWindow
--- a/pkg/scheduler/params.go
+++ b/pkg/scheduler/params.go
@@ -81,6 +81,9 @@
 	loadPenalty = 0.02
 	// inFlightRiskWeight is the added weight of the failure risk for each request that already runs on the server.
 	inFlightRiskWeight = 0.25
+	// trialBonus raises the score of a server whose version is on trial, if an attempt there is admitted: without results there is no verdict.
+	// It exceeds the failure risk of a server that fails half of its requests.
+	trialBonus = 0.6
 	// newServerBonus raises the score of a server that has had no request yet.
 	newServerBonus = 0.3
 
--- a/pkg/scheduler/queue.go
+++ b/pkg/scheduler/queue.go
@@ -34,7 +34,7 @@
 func (sc *Scheduler) slots() int {
 	slots := 0
 	for _, s := range sc.servers {
-		if !s.Closed && !s.misdirected {
+		if !s.Closed && !s.misdirected && !s.Trial {
 			slots += s.Slots
 		}
 	}
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -32,6 +32,8 @@
 	outcomes    outcomeWindow
 	// idempotentStarts are the recent starts of idempotent requests.
 	idempotentStarts eventWindow
+	// exposer admits attempts on servers with Trial; it is nil if there are none.
+	exposer Exposer
 }
 
 type queue struct {
@@ -135,7 +137,7 @@
 	code := azuretiller.CodeNoServer
 	for _, s := range sc.servers {
 		switch {
-		case s.Closed || s.misdirected:
+		case s.Closed || s.misdirected || s.Trial:
 		case slices.Contains(r.Tried, s.ID) || s.pauses(r.Key.From, at):
 			code = azuretiller.CodeServersPaused
 		default:
@@ -188,6 +190,9 @@
 		Deadline:    w.Deadline,
 		Fingerprint: w.Fingerprint,
 	}
+	if s.Trial {
+		sc.check.Assert(sc.exposer.Expose(now, w.Route, s.ID), "server %s is on trial but would get a request that is not admitted", s.ID)
+	}
 	previousStart := s.lastRequestStart
 	s.startRequest(now)
 	if w.Idempotent {
--- a/pkg/scheduler/server.go
+++ b/pkg/scheduler/server.go
@@ -13,12 +13,15 @@
 	ID      azuretiller.InstanceID
 	Address string
 	Zone    azuretiller.Zone
+	Version azuretiller.Version
 	Slots   int
 	// Closed means that the server gets no new requests because it drains or its availability zone is out of service.
 	Closed bool
 	// ColdUntil is when the server has warmed up. Until then it gets at most ColdRate requests a second.
 	ColdUntil time.Time
 	ColdRate  float64
+	// Trial means that the server has the target version of a rollout that is on trial. An attempt goes there only if the Exposer admits it.
+	Trial bool
 	// Incarnation changes when the server restarts.
 	Incarnation int64
 }
--- a/registry.go
+++ b/registry.go
@@ -6,7 +6,7 @@
 )
 
 // Registry reads and writes the records that the fleet keeps in the platform's store: the operators' settings, the backend
-// servers and the leader record.
+// servers, the leader record and the rollouts.
 type Registry interface {
 	// ReadSettings returns the changes at and after position from. It blocks for at most the duration wait until there is a change.
 	// With the zero position it returns a page with all current settings.
@@ -18,6 +18,12 @@
 	// ClaimLeader writes a leader record at position at. It returns ErrClaimLost if another record was written there first, or
 	// if the store is in another era.
 	ClaimLeader(ctx context.Context, at Position, r LeaderRecord) error
+	// ReadRollouts returns the progress and the status of all rollouts.
+	ReadRollouts(ctx context.Context) (StoredRollouts, error)
+	// StoreRollout writes the progress of a rollout at position at, with the same errors as ClaimLeader.
+	StoreRollout(ctx context.Context, at Position, r RolloutRecord) error
+	// ReportRollout writes the status of a service's rollout for the operator at position at, with the same errors as ClaimLeader.
+	ReportRollout(ctx context.Context, at Position, service ServiceID, s RolloutStatus) error
 }
 
 // SettingsPage is the result of one read of the operators' settings.
@@ -28,11 +34,13 @@
 	Next     Position
 }
 
-// SettingsChange is one change of the operators' settings: a new configuration, or a zone that is taken out of service or
-// put back.
+// SettingsChange is one change of the operators' settings: a new configuration, a change of the order for a rollout, or a zone that is
+// taken out of service or put back.
 type SettingsChange struct {
-	// Config is the complete configuration in the platform's format, or empty if the change concerns a zone.
+	// Config is the complete configuration in the platform's format, or empty if the change concerns something else.
 	Config []byte
+	// Rollout, if set, is a change of the order for a service.
+	Rollout *RolloutChange
 	// Zone, if set, is taken out of service if ZoneOutOfService is true and put back otherwise.
 	Zone             Zone
 	ZoneOutOfService bool
