Withdraw servers in the view, and report which view a VM has drained

Cause: a rollout is completed only after all requests on old servers have ended, also those placed by former leaders or by VMs without a leader. Change: servers of the view say how a rollout restricts their use; a VM sends nothing to withdrawn servers unless the view's leader says so, and its heartbeats carry the newest view for which no attempt runs on one.

--- a/pkg/fleetwire/codec.go
+++ b/pkg/fleetwire/codec.go
@@ -30,6 +30,7 @@
 			StampMs:     encodeClock(b.Stamp),
 			Share:       uint32(b.Share),
 			Pledges:     encodePledges(b.Pledges),
+			Drained:     b.DrainedView,
 		}}
 	case message.HeartbeatResponse:
 		d.Body = &fleetpb.Datagram_BeatAnswer{BeatAnswer: &fleetpb.BeatAnswer{
@@ -101,6 +102,7 @@
 			Stamp:          decodeClock(b.Beat.GetStampMs()),
 			Share:          azuretiller.RateShare(b.Beat.GetShare()),
 			Pledges:        decodePledges(b.Beat.GetPledges()),
+			DrainedView:    b.Beat.GetDrained(),
 		}
 	case *fleetpb.Datagram_BeatAnswer:
 		e.Body = message.HeartbeatResponse{
--- a/pkg/fleetwire/view.go
+++ b/pkg/fleetwire/view.go
@@ -34,6 +34,7 @@
 			Closed:      s.Closed,
 			Success:     uint32(s.Success),
 			Incarnation: s.Incarnation,
+			Rollout:     uint32(s.Rollout),
 		})
 	}
 	return p
@@ -67,6 +68,7 @@
 			Closed:      s.GetClosed(),
 			Success:     int(s.GetSuccess()),
 			Incarnation: s.GetIncarnation(),
+			Rollout:     message.RolloutUse(s.GetRollout()),
 		})
 	}
 	return v
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -194,6 +194,10 @@
 			Notice: platform.ServerNotice{Leaving: verdict == servergate.Leaving, PauseFor: pause},
 		}
 	}
+	if !c.gateway.gate.Start(p.Server, p.Ticket == 0, p.Term) {
+		c.gateway.common.Metrics.Counter("attempts_withdrawn").Inc(1)
+		return upstream.Response{Result: message.Withheld, Err: errors.Newf("not sent: a rollout withdrew backend server %s", p.Server)}
+	}
 	deadline, _ := ctx.Deadline()
 	response := c.gateway.sender.Send(ctx, upstream.Attempt{
 		Address:  p.Address,
@@ -207,6 +211,12 @@
 		ID:       c.id,
 		Deadline: deadline,
 	})
+	if response.RemainingBody == nil {
+		c.gateway.gate.End(p.Server)
+	} else {
+		// The context ends when the rest of the body has been passed on, or is not wanted.
+		context.AfterFunc(ctx, func() { c.gateway.gate.End(p.Server) })
+	}
 	c.recordNotice(server, response.Notice)
 	if response.Result == message.TimedOut && c.isBodyOverdue() {
 		// The server cannot respond to a request that it has not received completely.
--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -19,6 +19,9 @@
 	leaving bool
 	// configRevision is the revision of the newest configuration of this VM.
 	configRevision uint64
+	// drainedTerm and drainedView identify the newest view for which no attempt runs on a server that it withdraws.
+	drainedTerm azuretiller.Term
+	drainedView uint64
 
 	term azuretiller.Term
 	// formerEra is the era of the terms before eraSince.
@@ -157,6 +160,11 @@
 	m.configRevision = configRevision
 }
 
+// SetDrained records that no attempt of this VM runs on a server that a version of the view withdraws.
+func (m *Member) SetDrained(term azuretiller.Term, version uint64) {
+	m.drainedTerm, m.drainedView = term, version
+}
+
 // Leave marks this VM as leaving and tells the leader without waiting for the next heartbeat.
 func (m *Member) Leave(now time.Time) []Effect {
 	m.leaving = true
@@ -207,6 +215,9 @@
 		ViewVersion:    m.viewVersion(),
 		ConfigRevision: m.configRevision,
 	}
+	if m.drainedTerm == m.term {
+		hb.DrainedView = m.drainedView
+	}
 	m.holder.Fill(now, &hb)
 	if !m.knownToLeader {
 		hb.VM, hb.Zone, hb.CallerAddress, hb.CPUPercent = m.self.ID, m.self.Zone, m.self.CallerAddress, m.self.CPUPercent
--- a/pkg/message/message.go
+++ b/pkg/message/message.go
@@ -39,6 +39,8 @@
 	Share azuretiller.RateShare
 	// Pledges are those to leaders of earlier terms, which may spend the share as well until they end.
 	Pledges []Pledge
+	// DrainedView is the newest version of the view for which no attempt of the VM runs on a server that it withdraws.
+	DrainedView uint64
 }
 
 // Pledge is the promise of a VM not to spend its share of the rates, since the leader of a term does.
@@ -203,11 +205,13 @@
 	Address string
 	Zone    azuretiller.Zone
 	Slots   int
-	// Closed means that the server gets no new requests because it drains or is cold, or because its availability zone is out of
-	// service.
+	// Closed means that the server gets no new requests because it drains or is cold, because its availability zone is out of service, or
+	// because of a rollout.
 	Closed bool
 	// Success is the probability, in percent, that a request succeeds.
 	Success int
 	// Incarnation is that of the server's registry entry, zero if it is unknown.
 	Incarnation int64
+	// Rollout restricts the use of the server because of a rollout of its service.
+	Rollout RolloutUse
 }
--- a/pkg/message/view.go
+++ b/pkg/message/view.go
@@ -14,7 +14,7 @@
 	// maxPartBytes bounds the size of one part of a view, so that it fits a datagram also if the names are long.
 	maxPartBytes = 48 << 10
 	// entryOverhead is the largest size in bytes of a member or a server without its texts, and idOverhead that of a removed id.
-	entryOverhead = 40
+	entryOverhead = 42
 	idOverhead    = 4
 )
 
--- a/pkg/scheduler/request.go
+++ b/pkg/scheduler/request.go
@@ -56,7 +56,9 @@
 	QueueTime          time.Duration
 	// CrossZone means that the server is in a different availability zone from the VM.
 	CrossZone bool
-	// Deadline and Fingerprint are copied from the request.
-	Deadline    time.Time
-	Fingerprint uint64
+	// Route, SubmittedBefore, Deadline and Fingerprint are copied from the request.
+	Route           azuretiller.RouteID
+	SubmittedBefore bool
+	Deadline        time.Time
+	Fingerprint     uint64
 }
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -187,8 +187,10 @@
 		QueueTime:          now.Sub(w.enqueued),
 		CrossZone:          s.Zone != w.Zone,
 
-		Deadline:    w.Deadline,
-		Fingerprint: w.Fingerprint,
+		Route:           w.Route,
+		SubmittedBefore: w.SubmittedBefore,
+		Deadline:        w.Deadline,
+		Fingerprint:     w.Fingerprint,
 	}
 	if s.Trial {
 		sc.check.Assert(sc.exposer.Expose(now, w.Route, s.ID), "server %s is on trial but would get a request that is not admitted", s.ID)
--- a/pkg/servergate/gate.go
+++ b/pkg/servergate/gate.go
@@ -24,7 +24,8 @@
 	entries map[azuretiller.InstanceID]*entry
 	// newest holds the newest incarnation of each server that was listed within leavingRetention. The map is replaced when the list changes,
 	// so that requests need no lock.
-	newest atomic.Pointer[map[azuretiller.InstanceID]listing]
+	newest   atomic.Pointer[map[azuretiller.InstanceID]listing]
+	attempts attempts
 }
 
 // listing is an incarnation of a server, and when the server was last listed.
@@ -65,7 +66,7 @@
 
 // New returns a Gate through which requests to all servers may pass.
 func New() *Gate {
-	g := &Gate{entries: map[azuretiller.InstanceID]*entry{}}
+	g := &Gate{entries: map[azuretiller.InstanceID]*entry{}, attempts: attempts{running: map[azuretiller.InstanceID]int{}}}
 	g.newest.Store(&map[azuretiller.InstanceID]listing{})
 	return g
 }
