Decide about rollouts by weighing faults of a version against gray servers

Cause: the controller of a rollout allowed no exposure. Change: exposure in stored blocks, servers in focus, the reference of the old servers, evidence by server and the verdict, with a first simulation.

--- a/pkg/rollout/controller.go
+++ b/pkg/rollout/controller.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/azuretiller/azuretiller"
+	"github.com/azuretiller/azuretiller/pkg/message"
 )
 
 // Params are the bounds of the deployment.
@@ -17,59 +18,169 @@
 
 // Controller decides about the rollout of one service.
 type Controller struct {
-	params   Params
-	order    azuretiller.RolloutOrder
-	progress azuretiller.RolloutProgress
+	params Params
+	order  azuretiller.RolloutOrder
+	phase  Phase
+	// deadline is the time limit.
+	deadline  time.Time
+	started   time.Time
+	exposure  exposure
+	focus     *focus
+	reference *reference
+	evidence  *evidence
+	inFlight  *inFlight
+	// bad counts the bad responses, including those that former leaders stored. badSince is when they reached badCountLimit.
+	bad      int
+	badSince time.Time
+	// state is the last confirmed state, and wantState the one to be stored.
+	state, wantState azuretiller.RolloutState
+	// wantCutover means that the verdict is good, and cutover that it is stored.
+	wantCutover, cutover bool
+	// writing means that a write is under way. After an error the next one begins at retryAt.
+	writing bool
+	retryAt time.Time
+	reason  string
+	logs    []LogLine
+	// logOdds is the log odds that the version is bad, as of the last Tick.
+	logOdds float64
+	paused  bool
 }
 
 // New returns the controller of a rollout. If the stored progress belongs to another target version, or is empty, the rollout
 // starts at now.
 func New(now time.Time, p Params, order azuretiller.RolloutOrder, stored azuretiller.RolloutProgress) *Controller {
-	_ = now
-	return &Controller{params: p, order: order, progress: stored}
+	if stored.Target != order.Target || stored.State == 0 {
+		stored = azuretiller.RolloutProgress{Target: order.Target, Started: now}
+	}
+	// The clock of the former leader may have been ahead of this one.
+	started := stored.Started
+	if latest := now.Add(-stored.Elapsed); started.After(latest) {
+		started = latest
+	}
+	c := &Controller{
+		params: p, order: order, phase: Trial, started: started, deadline: started.Add(order.Duration),
+		focus: newFocus(), reference: newReference(), inFlight: newInFlight(),
+		evidence: newEvidence(now, min(maxStoredLogOdds, max(-maxStoredLogOdds, stored.LogOdds))),
+		bad:      stored.Bad, state: stored.State, wantState: azuretiller.RolloutActive, cutover: stored.Cutover, wantCutover: stored.Cutover,
+		logOdds: stored.LogOdds,
+	}
+	c.exposure = exposure{
+		params: p, started: started, requests: stored.Requests, countedSince: now,
+		confirmed: stored.Reserved, attempted: stored.Reserved, used: stored.Reserved,
+	}
+	c.exposure.cutoverAt = c.cutoverAt()
+	if c.bad >= badCountLimit {
+		c.badSince = now
+	}
+	if stored.State.Final() {
+		c.wantState = stored.State
+	}
+	switch {
+	case stored.State == azuretiller.RolloutCompleted:
+		c.phase = Completed
+	case stored.State == azuretiller.RolloutReverted:
+		c.phase = Reverted
+	case stored.Cutover:
+		c.phase = Cutover
+	}
+	return c
 }
 
 // CountRequest counts a request that reaches the service and is then sent to a server of either version. It is called once for
 // each request, not for its further attempts.
-func (c *Controller) CountRequest(now time.Time) { _ = now }
+func (c *Controller) CountRequest(now time.Time) {
+	if now.Before(c.deadline) {
+		c.exposure.requests++
+		c.exposure.counted++
+	}
+}
 
 // Expose reports whether an attempt on a target server may be placed now, and takes it from the reserved exposure. It is called
 // for each attempt on a target server, also after the cutover, when it always allows the attempt.
 func (c *Controller) Expose(now time.Time, route azuretiller.RouteID, server azuretiller.InstanceID) bool {
-	return c.MayExpose(now, route, server)
+	if !c.MayExpose(now, route, server) {
+		return false
+	}
+	c.exposure.used++
+	c.exposure.placed++
+	if c.phase != Completed {
+		c.inFlight.add(now, route, server)
+		c.focus.place(now, route, server)
+	}
+	return true
 }
 
 // MayExpose reports the same as Expose without taking the attempt from the reserved exposure.
 func (c *Controller) MayExpose(now time.Time, route azuretiller.RouteID, server azuretiller.InstanceID) bool {
-	_, _, _ = now, route, server
-	return false
+	switch c.phase {
+	case Cutover, Completed:
+		return true
+	case Trial:
+	default:
+		return false
+	}
+	if c.paused || !now.Before(c.deadline) {
+		return false
+	}
+	available := c.exposure.available(now)
+	return available > 0 && !c.reference.shedding(now) &&
+		c.focus.allows(route, server, available, c.exposure.visitSize(now), len(c.reference.routes))
 }
 
 // Observe records the result of an attempt on a server of either version. Each attempt that Expose admitted is observed once,
 // with the result Cancelled if it was not made or its VM is lost.
-func (c *Controller) Observe(now time.Time, o Outcome) { _, _ = now, o }
-
-// Tick is called several times a second with the servers of both versions, and returns what to do.
-func (c *Controller) Tick(now time.Time, s Servers) []Effect {
-	_, _ = now, s
-	return nil
+func (c *Controller) Observe(now time.Time, o Outcome) {
+	if c.phase == Completed || c.phase == Reverted {
+		return
+	}
+	if !o.OnTarget {
+		c.reference.observe(now, o)
+		return
+	}
+	if counted := c.inFlight.remove(o.Route, o.Server, now.Add(-o.Took)); !counted {
+		c.judge(now, o)
+	}
 }
 
-// Stored reports the result of a StoreProgress effect. After an error, the progress may or may not have been stored.
-func (c *Controller) Stored(now time.Time, p azuretiller.RolloutProgress, err error) {
-	_, _, _ = now, p, err
+// judge takes a response of a target server into account.
+func (c *Controller) judge(now time.Time, o Outcome) {
+	kind := c.reference.classify(o)
+	if kind.bad() {
+		c.bad++
+		if c.bad >= badCountLimit && c.badSince.IsZero() {
+			c.badSince = now
+		}
+	}
+	if !kind.evidence() {
+		return
+	}
+	route := c.reference.route(o.Route)
+	c.evidence.observe(now, o, kind, route.failureRate, route.slowShare)
 }
 
 // Phase returns the current phase. It is Cutover only after the store confirmed the cutover, and Completed only after it
 // confirmed the completion; Reverted takes effect before it is stored.
-func (c *Controller) Phase() Phase { return Trial }
+func (c *Controller) Phase() Phase { return c.phase }
 
 // State returns the last state that the store confirmed, which is the state that may be reported to the operator. It is zero
 // until the first progress is confirmed.
-func (c *Controller) State() azuretiller.RolloutState { return c.progress.State }
+func (c *Controller) State() azuretiller.RolloutState { return c.state }
 
 // Status describes the rollout for dumps and metrics.
 func (c *Controller) Status(now time.Time) Status {
-	_ = now
-	return Status{Phase: c.Phase(), Progress: c.progress}
+	return Status{
+		Phase: c.phase, Progress: c.snapshot(now, c.exposure.confirmed), Used: c.exposure.placed,
+		TimeLeft: c.deadline.Sub(now), LogOdds: c.logOdds, Reason: c.reason,
+	}
+}
+
+// overdue observes as slow the attempts that run for very long.
+func (c *Controller) overdue(now time.Time) {
+	limit := func(route azuretiller.RouteID) time.Duration {
+		return max(overdueAfter, time.Duration(overdueFactor*float64(c.reference.threshold(route))))
+	}
+	c.inFlight.overdue(now, limit, func(server azuretiller.InstanceID, route azuretiller.RouteID) bool {
+		c.judge(now, Outcome{Route: route, Server: server, OnTarget: true, Result: message.TimedOut, Took: limit(route)})
+		return true
+	})
 }
--- /dev/null
+++ b/pkg/rollout/decide.go
@@ -0,0 +1,203 @@
+package rollout
+
+import (
+	"time"
+
+	"github.com/azuretiller/azuretiller"
+	"github.com/azuretiller/azuretiller/pkg/message"
+)
+
+// Tick is called several times a second with the servers of both versions, and returns what to do.
+func (c *Controller) Tick(now time.Time, s Servers) []Effect {
+	switch c.phase {
+	case Trial:
+		c.prepare(now, s)
+		c.decideTrial(now, s)
+		c.overseeExposure(now, s)
+	case Cutover:
+		c.prepare(now, s)
+		c.decideCutover(now, s)
+	}
+	var effects []Effect
+	if p, ok := c.nextWrite(now); ok {
+		c.writing = true
+		effects = append(effects, StoreProgress{Progress: p})
+	}
+	for _, line := range c.logs {
+		effects = append(effects, line)
+	}
+	c.logs = nil
+	return effects
+}
+
+// prepare brings the evidence up to date.
+func (c *Controller) prepare(now time.Time, s Servers) {
+	old := map[azuretiller.InstanceID]bool{}
+	for _, server := range s.Old {
+		old[server.ID] = true
+	}
+	c.reference.removeServers(old)
+	if len(s.Old) > 0 && c.phase == Trial {
+		c.reference.refresh(now)
+	}
+	c.overdue(now)
+	c.evidence.advance(now)
+	c.logOdds = c.evidence.logOdds()
+	c.exposure.cutoverAt = c.cutoverAt()
+}
+
+// cutoverAt returns the time of the cutover. It leaves time for the last requests on old servers.
+func (c *Controller) cutoverAt() time.Time {
+	return c.deadline.Add(-cutoverMargin - c.drainTime())
+}
+
+func (c *Controller) drainTime() time.Duration {
+	return min(maxDrain, max(minDrain, c.reference.longest))
+}
+
+// overseeExposure updates the servers in focus and pauses the exposure after too many bad responses.
+func (c *Controller) overseeExposure(now time.Time, s Servers) {
+	paused := !c.badSince.IsZero() && now.Sub(c.badSince) > c.params.Rollback-rollbackMargin && c.logOdds > trustedLogOdds
+	if paused != c.paused {
+		c.paused = paused
+		c.log("rollout exposure", map[string]any{"paused": paused, "bad": c.bad, "logOdds": c.logOdds})
+	}
+	visitSize := c.exposure.visitSize(now)
+	c.focus.setAvailable(c.exposure.available(now), visitSize)
+	c.focus.update(now, s.Target, visitsFor(c.exposure.rate(now), s.Target, c.reference.meanDuration()), visitSize)
+}
+
+// decideTrial decides on the cutover or on the end of the trial.
+func (c *Controller) decideTrial(now time.Time, s Servers) {
+	cutoverAt := c.cutoverAt()
+	switch {
+	case c.logOdds >= badLogOdds:
+		c.revert("the target version is bad")
+	case c.wantCutover:
+		if now.After(cutoverAt.Add(2 * cutoverExtension)) {
+			c.revert("the cutover could not be stored in time")
+		}
+	case now.Before(cutoverAt):
+	case now.After(cutoverAt.Add(2 * cutoverExtension)):
+		c.revert("too late for the cutover")
+	case c.good(now, s, goodLogOdds):
+		c.startCutover()
+	case now.Before(cutoverAt.Add(cutoverExtension)):
+	case c.good(now, s, lateGoodLogOdds):
+		c.startCutover()
+	default:
+		c.revert("no verdict in time")
+	}
+}
+
+// decideCutover decides on the completion. A version that turns bad now is still reverted as long as no completion may have been
+// stored.
+func (c *Controller) decideCutover(now time.Time, s Servers) {
+	if c.wantState == azuretiller.RolloutCompleted {
+		return
+	}
+	if c.logOdds >= badLogOdds {
+		c.revert("the target version is bad after the cutover")
+		return
+	}
+	if s.OldInUse || len(s.Target) == 0 {
+		return
+	}
+	if c.logOdds < 0 || !now.Before(c.deadline.Add(-completionGrace)) {
+		c.wantState = azuretiller.RolloutCompleted
+		c.logVerdict("rollout completion")
+	}
+}
+
+// good reports whether there is enough evidence that the version is good. Attempts that already take too long count as slow.
+func (c *Controller) good(now time.Time, s Servers, threshold float64) bool {
+	if c.logOdds > threshold || !c.evidence.sufficient(c.focus.count()) || len(s.Target) == 0 {
+		return false
+	}
+	late := c.evidence.clone()
+	limit := func(route azuretiller.RouteID) time.Duration {
+		return time.Duration(overdueFactor * float64(c.reference.threshold(route)))
+	}
+	c.inFlight.overdue(now, limit, func(server azuretiller.InstanceID, id azuretiller.RouteID) bool {
+		route := c.reference.route(id)
+		o := Outcome{Route: id, Server: server, OnTarget: true, Result: message.Succeeded}
+		late.observe(now, o, slowResponse, route.failureRate, route.slowShare)
+		return false
+	})
+	return late.logOdds() <= threshold
+}
+
+func (c *Controller) startCutover() {
+	c.wantCutover = true
+	c.logVerdict("rollout cutover")
+}
+
+func (c *Controller) revert(reason string) {
+	c.phase, c.wantState, c.reason = Reverted, azuretiller.RolloutReverted, reason
+	c.logVerdict("rollout reverted")
+}
+
+func (c *Controller) logVerdict(name string) {
+	fields := map[string]any{
+		"logOdds": c.logOdds, "responses": c.evidence.responses, "servers": len(c.evidence.servers), "bad": c.bad,
+		"exposed": c.exposure.used, "requests": c.exposure.requests,
+	}
+	if c.reason != "" {
+		fields["reason"] = c.reason
+	}
+	c.log(name, fields)
+}
+
+func (c *Controller) log(name string, fields map[string]any) {
+	fields["service"], fields["target"] = c.order.Service, c.order.Target
+	c.logs = append(c.logs, LogLine{Name: name, Fields: fields})
+}
+
+// nextWrite returns the progress to store now, if any. One write is under way at a time.
+func (c *Controller) nextWrite(now time.Time) (azuretiller.RolloutProgress, bool) {
+	if c.writing || now.Before(c.retryAt) || c.state.Final() {
+		return azuretiller.RolloutProgress{}, false
+	}
+	mark, due := c.exposure.confirmed, c.state != c.wantState || c.cutover != c.wantCutover
+	if c.phase == Trial {
+		if next, ok := c.exposure.nextBlock(now); ok {
+			mark, due = next, true
+			c.exposure.attempted = next
+		}
+	}
+	if !due {
+		return azuretiller.RolloutProgress{}, false
+	}
+	return c.snapshot(now, max(mark, c.exposure.attempted)), true
+}
+
+// snapshot returns the progress to store with a high-water mark of the exposure. Attempts without a result and those that are
+// reserved count as bad, since a successor does not learn their results.
+func (c *Controller) snapshot(now time.Time, mark int) azuretiller.RolloutProgress {
+	unknown := c.inFlight.count()
+	if c.phase == Trial {
+		unknown += max(0, mark-c.exposure.used)
+	}
+	return azuretiller.RolloutProgress{
+		Target: c.order.Target, State: c.wantState, Started: c.started, Reserved: mark, Requests: c.exposure.requests,
+		Bad: c.bad + unknown, Cutover: c.wantCutover, Elapsed: now.Sub(c.started), LogOdds: c.logOdds,
+	}
+}
+
+// Stored reports the result of a StoreProgress effect. After an error, the progress may or may not have been stored.
+func (c *Controller) Stored(now time.Time, p azuretiller.RolloutProgress, err error) {
+	c.writing = false
+	if err != nil {
+		c.retryAt = now.Add(storeRetry)
+		return
+	}
+	c.exposure.confirmed = max(c.exposure.confirmed, p.Reserved)
+	c.state = p.State
+	c.cutover = p.Cutover
+	switch {
+	case p.State == azuretiller.RolloutCompleted:
+		c.phase = Completed
+	case p.Cutover && c.phase == Trial:
+		c.phase = Cutover
+	}
+}
--- /dev/null
+++ b/pkg/rollout/evidence.go
@@ -0,0 +1,224 @@
+package rollout
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/azuretiller/azuretiller"
+)
+
+const (
+	// serverStates are the states of one server: healthy, failing a third, failing three quarters, and slow.
+	serverStates = 4
+	// stateRate is the rate in 1/s at which the knowledge of a server's state is lost. Gray periods last some seconds.
+	stateRate = 0.25
+	// onsetInterval is the interval of the times at which a version may turn bad.
+	onsetInterval = time.Second
+	// laterOnset is the prior probability that a version turns bad in a given interval after the start of the trial.
+	laterOnset = 0.04
+	// initialOnset is the prior probability that a version is bad from the start.
+	initialOnset = 0.5
+	// allRoutes is the route of hypotheses that concern all routes, and allRoutesWeight their prior probability.
+	allRoutes       = -1
+	allRoutesWeight = 0.65
+	// maxHypotheses limits the memory and the time of an observation.
+	maxHypotheses = 700
+)
+
+// serverState describes what a server does on its own, whatever its version.
+type serverState struct{ probability, failureRate, slowShare float64 }
+
+// states returns the states with their probabilities. They assume the largest share of gray servers that occurs (3 in 10).
+func states() [serverStates]serverState {
+	return [serverStates]serverState{{0.7, 0, 0}, {0.12, 0.35, 0}, {0.14, 0.75, 0}, {0.04, 0, 0.6}}
+}
+
+// fault is a way in which a version may be bad on all of its servers.
+type fault struct{ weight, failureRate, slowShare float64 }
+
+// faults returns the kinds of bad versions that are considered.
+func faults() []fault {
+	return []fault{{0.1, 0.15, 0}, {0.2, 0.3, 0}, {0.22, 0.6, 0}, {0.2, 0.95, 0}, {0.13, 0, 0.6}, {0.15, 0, 0.95}}
+}
+
+// hypothesis is one way in which the version may be bad.
+type hypothesis struct {
+	fault, route int
+	// logPrior is the logarithm of its prior probability, given that the version is bad.
+	logPrior float64
+	// logRatio is the logarithm of the likelihood of the responses relative to that of a good version.
+	logRatio float64
+}
+
+type stateVector [serverStates]float64
+
+// serverEvidence is what is known of the states of one server.
+type serverEvidence struct {
+	at   time.Time
+	good stateVector
+	// byHypothesis are the states under the hypotheses with the same index. Hypotheses that are younger than the newest response have
+	// the state of a good version and are missing.
+	byHypothesis []stateVector
+	responses    int
+}
+
+// evidence weighs the hypotheses that the target version is bad against the hypothesis that only single servers are gray.
+type evidence struct {
+	states     [serverStates]serverState
+	faults     []fault
+	hypotheses []hypothesis
+	routes     map[azuretiller.RouteID]int
+	servers    map[azuretiller.InstanceID]*serverEvidence
+	started    time.Time
+	nextOnset  time.Time
+	prior      float64
+	responses  int
+}
+
+// newEvidence returns evidence without responses. The prior log odds are those of a version that is bad from the start.
+func newEvidence(now time.Time, priorLogOdds float64) *evidence {
+	e := &evidence{
+		states: states(), faults: faults(), routes: map[azuretiller.RouteID]int{},
+		servers: map[azuretiller.InstanceID]*serverEvidence{}, started: now, nextOnset: now.Add(onsetInterval), prior: priorLogOdds,
+	}
+	e.addHypotheses(allRoutes, math.Log(initialOnset)+priorLogOdds)
+	return e
+}
+
+func (e *evidence) addHypotheses(route int, logPrior float64) {
+	if len(e.hypotheses) >= maxHypotheses {
+		return
+	}
+	if route == allRoutes {
+		logPrior += math.Log(allRoutesWeight)
+	} else {
+		logPrior += math.Log((1 - allRoutesWeight) / float64(len(e.routes)))
+	}
+	for i, f := range e.faults {
+		e.hypotheses = append(e.hypotheses, hypothesis{fault: i, route: route, logPrior: logPrior + math.Log(f.weight)})
+	}
+}
+
+// advance adds the hypotheses that the version turns bad now.
+func (e *evidence) advance(now time.Time) {
+	for !now.Before(e.nextOnset) {
+		e.nextOnset = e.nextOnset.Add(onsetInterval)
+		e.addHypotheses(allRoutes, math.Log(laterOnset))
+		for route := range len(e.routes) {
+			e.addHypotheses(route, math.Log(laterOnset))
+		}
+	}
+}
+
+func (e *evidence) route(id azuretiller.RouteID) int {
+	index, ok := e.routes[id]
+	if !ok {
+		index = len(e.routes)
+		e.routes[id] = index
+		e.addHypotheses(index, math.Log(initialOnset)+e.prior)
+	}
+	return index
+}
+
+// observe takes a response of a target server into account, compared with those of healthy old servers for its route.
+func (e *evidence) observe(now time.Time, o Outcome, kind responseKind, failureRate, slowShare float64) {
+	e.advance(now)
+	route := e.route(o.Route)
+	s := e.servers[o.Server]
+	if s == nil {
+		s = &serverEvidence{at: now}
+		for i, state := range e.states {
+			s.good[i] = state.probability
+		}
+		e.servers[o.Server] = s
+	}
+	for len(s.byHypothesis) < len(e.hypotheses) {
+		s.byHypothesis = append(s.byHypothesis, s.good)
+	}
+	decay := math.Exp(-stateRate * max(0, now.Sub(s.at).Seconds()))
+	s.at = now
+	s.responses++
+	e.responses++
+
+	normal := e.likelihoods(kind, fault{}, failureRate, slowShare)
+	goodLikelihood := s.good.update(decay, &e.states, &normal)
+	faulty := make([]stateVector, len(e.faults))
+	for i, f := range e.faults {
+		faulty[i] = e.likelihoods(kind, f, failureRate, slowShare)
+	}
+	for i := range e.hypotheses {
+		h := &e.hypotheses[i]
+		likelihoods := &normal
+		if h.route == allRoutes || h.route == route {
+			likelihoods = &faulty[h.fault]
+		}
+		h.logRatio += math.Log(s.byHypothesis[i].update(decay, &e.states, likelihoods) / goodLikelihood)
+	}
+}
+
+// likelihoods returns the probability of the kind of response in each state of the server.
+func (e *evidence) likelihoods(kind responseKind, f fault, failureRate, slowShare float64) stateVector {
+	var v stateVector
+	for i, s := range e.states {
+		failed := 1 - (1-failureRate)*(1-s.failureRate)*(1-f.failureRate)
+		slow := (1 - failed) * (1 - (1-slowShare)*(1-s.slowShare)*(1-f.slowShare))
+		switch kind {
+		case failedResponse:
+			v[i] = failed
+		case slowResponse:
+			v[i] = slow
+		default:
+			v[i] = 1 - failed - slow
+		}
+	}
+	return v
+}
+
+// update moves the probabilities of the states to the time of a response, takes the response into account, and returns its
+// probability.
+func (v *stateVector) update(decay float64, states *[serverStates]serverState, likelihoods *stateVector) float64 {
+	sum := 0.0
+	for i := range v {
+		stationary := states[i].probability
+		v[i] = (stationary + (v[i]-stationary)*decay) * likelihoods[i]
+		sum += v[i]
+	}
+	for i := range v {
+		v[i] /= sum
+	}
+	return sum
+}
+
+// logOdds returns the logarithm of the odds that the version is bad, if good and bad versions are equally frequent.
+func (e *evidence) logOdds() float64 {
+	largest := math.Inf(-1)
+	for _, h := range e.hypotheses {
+		largest = max(largest, h.logPrior+h.logRatio)
+	}
+	sum := 0.0
+	for _, h := range e.hypotheses {
+		sum += math.Exp(h.logPrior + h.logRatio - largest)
+	}
+	return largest + math.Log(sum)
+}
+
+// sufficient reports whether there are enough responses for a good verdict, at least in proportion to the servers.
+func (e *evidence) sufficient(servers int) bool {
+	return e.responses >= minResponses && len(e.servers) >= min(minServers, servers)
+}
+
+// clone returns a copy that changes independently.
+func (e *evidence) clone() *evidence {
+	c := *e
+	c.hypotheses = slices.Clone(e.hypotheses)
+	c.routes = maps.Clone(e.routes)
+	c.servers = make(map[azuretiller.InstanceID]*serverEvidence, len(e.servers))
+	for id, s := range e.servers {
+		copied := *s
+		copied.byHypothesis = slices.Clone(s.byHypothesis)
+		c.servers[id] = &copied
+	}
+	return &c
+}
--- /dev/null
+++ b/pkg/rollout/params.go
@@ -0,0 +1,72 @@
+package rollout
+
+import "time"
+
+const (
+	// exposureMargin is the part of the bound that is used. The rest covers requests that were counted by this leader but not by
+	// the operator, and attempts that were counted by the operator only.
+	exposureMargin = 0.9
+	// trialSlackShare and trialRequestShare are the parts of ExposeSlack and of ExposeShare that may be used before the cutover. The
+	// rest is left for the time between the cutover and a verdict on a version that turns bad after it.
+	trialSlackShare   = 0.85
+	trialRequestShare = 0.6
+	// initialSlack is the part of the trial's slack that may be used at once. The rest becomes available evenly until the cutover,
+	// so that a version that turns bad later is noticed.
+	initialSlack = 0.15
+	// blockShare is the size of a block as a share of the expected exposure, and minBlock the smallest block. A new leader loses the
+	// unused part of the last block, and each block costs a write.
+	blockShare = 0.12
+	minBlock   = 6
+
+	// storeRetry is the time after which a failed write is repeated.
+	storeRetry = 200 * time.Millisecond
+
+	// cutoverMargin is the time from the cutover to the time limit besides the time that the last requests on old servers take. It
+	// covers three writes to the store and the distribution of a view.
+	cutoverMargin = 1300 * time.Millisecond
+	// minDrain and maxDrain limit the time that is left for the last requests on old servers.
+	minDrain = 400 * time.Millisecond
+	maxDrain = 3 * time.Second
+	// cutoverExtension is how much later the cutover may be if the verdict is uncertain.
+	cutoverExtension = 500 * time.Millisecond
+	// completionGrace is the time before the time limit from which a completion is no longer put off by suspicion.
+	completionGrace = 600 * time.Millisecond
+
+	// badLogOdds is the log odds from which the verdict is bad. Under the model of a good version, the odds reach this value
+	// in at most 1 of 400 rollouts.
+	badLogOdds = 6
+	// goodLogOdds is the log odds up to which the verdict is good, and lateGoodLogOdds the same when no more time is left.
+	goodLogOdds     = -2
+	lateGoodLogOdds = -0.7
+	// minResponses and minServers are the numbers of responses and of servers without which no verdict is good.
+	minResponses = 8
+	minServers   = 3
+	// maxStoredLogOdds limits what a new leader takes over from the log odds of its predecessor.
+	maxStoredLogOdds = 4
+
+	// badCountLimit is the number of bad responses after which Params.Rollback is counted. The operator counts from the 50th.
+	badCountLimit = 45
+	// rollbackMargin is the time before the end of Params.Rollback at which the exposure is paused.
+	rollbackMargin = 1500 * time.Millisecond
+	// trustedLogOdds is the log odds below which the exposure continues although the version had badCountLimit bad responses, as
+	// gray servers may have caused them.
+	trustedLogOdds = -2
+
+	// minVisit and maxVisit limit the number of attempts that a target server gets before the next one is in focus. Many
+	// servers are visited because a gray server says nothing about its version.
+	minVisit = 5
+	maxVisit = 12
+	// visitsPerTrial is the intended number of visits.
+	visitsPerTrial = 9
+	// visitTimeout ends the visit of a server that gets no attempts, as it may be full of attempts that hang.
+	visitTimeout = 1500 * time.Millisecond
+
+	// sheddingShare is the share of shed attempts on old servers from which there is no exposure, as it would yield no evidence.
+	sheddingShare = 0.3
+
+	// overdueAfter is the least time after which an attempt without a result counts as slow. It is longer than the time in
+	// which the leader notices that the VM of the attempt is lost.
+	overdueAfter = 2500 * time.Millisecond
+	// overdueFactor is the least time in multiples of the threshold of slow responses.
+	overdueFactor = 1.5
+)
--- a/pkg/rollout/types.go
+++ b/pkg/rollout/types.go
@@ -22,6 +22,8 @@
 type Server struct {
 	ID    azuretiller.InstanceID
 	Slots int
+	// Cold servers get attempts only if no other server of the target version is left.
+	Cold bool
 }
 
 // Servers are the servers of a service, as passed to Controller.Tick.
--- a/rollout_progress.go
+++ b/rollout_progress.go
@@ -17,4 +17,9 @@
 	Bad int
 	// Cutover means that the verdict was good, and that the old servers get no new requests.
 	Cutover bool
+	// Elapsed is the time since Started at which the progress was written, by the clock of the VM that wrote it. It bounds the
+	// effect of a difference between the clocks of two leaders.
+	Elapsed time.Duration
+	// LogOdds is the natural logarithm of the odds that the target version is bad, as known when the progress was written.
+	LogOdds float64
 }
