Hold the rollouts in the leader, and store and report their state

Cause: nothing held the controllers of pkg/rollout or carried out what they decide. Change: the leader accepts, resumes, replaces and ends orders, gives servers roles, stores progress and status at a condition, and reads them back after a write without a clear result. VMs close servers by their view, and by what they read themselves without a leader.

--- a/pkg/config/assemble.go
+++ b/pkg/config/assemble.go
@@ -78,3 +78,14 @@
 	}
 	return Route{}, false
 }
+
+// LongestTimeout returns the longest timeout of the routes that Assemble was given.
+func (c *Config) LongestTimeout() time.Duration {
+	longest := time.Duration(0)
+	for _, routes := range c.hosts {
+		for _, r := range routes {
+			longest = max(longest, r.Timeout)
+		}
+	}
+	return longest
+}
--- a/pkg/edge/control.go
+++ b/pkg/edge/control.go
@@ -77,6 +77,11 @@
 
 func (e *Edge) tick(ctx context.Context, now time.Time) {
 	e.member.SetReady(e.State().Ready(), e.revision())
+	view := e.member.View()
+	e.gate.SetView(view)
+	if e.gate.Drained() {
+		e.member.SetDrained(view.Term, view.Version)
+	}
 	e.runMember(ctx, e.member.Tick(now))
 	if e.leader != nil {
 		if now.Sub(e.reads.leaderRefreshedAt) >= leaderRefreshInterval {
@@ -117,6 +122,7 @@
 		if v.err == nil {
 			e.trackEra(ctx, v.page.Next.Era)
 			e.reads.lastSettingsRead = now
+			e.reportOrders(v.page)
 			if data := e.registryCache.ApplySettings(now, v.page); data != nil {
 				e.applyConfig(now, data, "store")
 			}
@@ -153,6 +159,8 @@
 		}
 	case claimResult:
 		e.runMember(ctx, e.member.Claimed(now, v.term, v.err))
+	default:
+		e.handleRollouts(now, v)
 	}
 	e.publish(now)
 }
@@ -184,6 +192,9 @@
 		closeServersExcept(services, e.reads.inheritedServers)
 	}
 	e.runLeader(e.leader.SetServers(now, services))
+	if !settingsUnknown {
+		e.runLeader(e.leader.SetOrders(now, e.registryCache.Orders(now)))
+	}
 }
 
 func (e *Edge) receive(ctx context.Context, now time.Time, in datagram.Incoming) {
@@ -284,7 +295,7 @@
 	} else {
 		view := e.member.View()
 		e.reads.inheritedServers = formerServers(view).InUse
-		e.runLeader(e.leader.SetServers(now, serversByService(view)))
+		e.runLeader(e.leader.InheritServers(now, view.Servers, serversByService(view)))
 	}
 	e.reads.nextSettingsRead, e.reads.nextServersRead = time.Time{}, time.Time{}
 	e.logEvent("leading", log.Fields{"term": term, "version": e.revision()})
@@ -295,6 +306,7 @@
 	return leader.Params{
 		Scheduler:     scheduler.Params{RetryRatio: b.RetryRatio, RetrySlack: b.RetrySlack, CrossZoneCost: crossZoneCost, CrossZoneCostPerKiB: crossZoneCostPerKiB},
 		RateTolerance: rateTolerance(b),
+		Rollout:       rolloutParams(b),
 	}
 }
 
@@ -323,6 +335,8 @@
 			e.confirmTerm(e.runCtx)
 		case leader.WriteRates:
 			go e.writeRates(e.runCtx, e.leader.Term(), v.Rates)
+		case leader.ReadRollouts, leader.StoreRollout, leader.ReportRollout:
+			e.callRollouts(e.runCtx, e.leader.Term(), v)
 		case leader.LogLine:
 			e.logEvent(v.Name, v.Fields)
 		}
@@ -363,7 +377,7 @@
 		LeaderExpected: e.member.LeaderUnreachableFor(now) < leaderExpectedFor,
 		Leaving:        e.leaving,
 		Members:        view.Members,
-		Servers:        view.Servers,
+		Servers:        closeUnrenewed(view.Servers, e.member.LeaderUnreachableFor(now)),
 	}
 	listed := listedServers{term: view.Term, version: view.Version}
 	if !s.LeaderReachable && now.Sub(e.reads.lastRegistryRead()) < maxOwnServersAge && e.member.LeaderUnreachableFor(now) > leaderlessReadAfter {
--- a/pkg/edge/dump.go
+++ b/pkg/edge/dump.go
@@ -45,6 +45,7 @@
 	if e.leader != nil {
 		state["services"] = e.leader.ServiceStates(now)
 		state["rates"] = e.leader.RateStates(now)
+		state["rollouts"] = e.leader.RolloutStates(now)
 	}
 	return state
 }
--- a/pkg/edge/reads.go
+++ b/pkg/edge/reads.go
@@ -86,6 +86,11 @@
 	// time, so that the leader is asked next.
 	zoneFetchFailed bool
 	client          http.Client
+	// rollouts are the stored rollouts that this VM read last without a leader, at lastRolloutsRead, and rolloutsPending means that a read is
+	// running.
+	rollouts         *azuretiller.StoredRollouts
+	lastRolloutsRead time.Time
+	rolloutsPending  bool
 	// era is the newest era of the store that this VM has seen; it is unknown until eraKnown.
 	era      azuretiller.Era
 	eraKnown bool
@@ -145,6 +150,9 @@
 	}
 	if readsServers && !e.reads.serversPending && !now.Before(e.reads.nextServersRead) {
 		e.reads.serversPending = true
+		if e.leader == nil {
+			e.startRolloutsRead(ctx)
+		}
 		e.reads.serversReadStarted = now
 		e.reads.nextServersRead = now.Add(interval)
 		from := e.registryCache.NextServers()
@@ -234,6 +242,7 @@
 	if e.reads.eraKnown && era > e.reads.era {
 		e.common.Log.WithFields(log.Fields{"old": e.reads.era, "new": era}).Warn("store restored")
 		if e.leader != nil {
+			e.leader.StoreRestored()
 			e.confirmTerm(ctx)
 		}
 	}
--- /dev/null
+++ b/pkg/edge/rollouts.go
@@ -0,0 +1,168 @@
+package edge
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/azuretiller/azuretiller"
+	"github.com/azuretiller/azuretiller/pkg/leader"
+	"github.com/azuretiller/azuretiller/pkg/message"
+	"github.com/azuretiller/azuretiller/pkg/rollout"
+	"github.com/azuretiller/azuretiller/platform"
+)
+
+// rolloutCallTimeout bounds each call to the store about rollouts: a block of exposure or a status that is late by more is of little use.
+const rolloutCallTimeout = time.Second
+
+// rolloutsResult is the result of reading the stored rollouts, for the leader of a term or, with term 0, for a VM without a leader.
+type rolloutsResult struct {
+	term   azuretiller.Term
+	stored azuretiller.StoredRollouts
+	err    error
+}
+
+// rolloutStored is the result of writing the progress of a rollout for the leader of a term.
+type rolloutStored struct {
+	term   azuretiller.Term
+	record azuretiller.RolloutRecord
+	err    error
+}
+
+// rolloutReported is the result of writing the status of a rollout for the leader of a term.
+type rolloutReported struct {
+	term    azuretiller.Term
+	service azuretiller.ServiceID
+	status  azuretiller.RolloutStatus
+	err     error
+}
+
+func rolloutParams(b platform.Bounds) rollout.Params {
+	return rollout.Params{ExposeShare: b.ExposeShare, ExposeSlack: b.ExposeSlack, Rollback: b.Rollback}
+}
+
+// hasRollouts reports whether the deployment has rollouts.
+func (e *Edge) hasRollouts() bool { return e.processSettings.Bounds.ExposeShare > 0 }
+
+// callRollouts carries out a call of the leader to the store about rollouts.
+func (e *Edge) callRollouts(ctx context.Context, term azuretiller.Term, effect leader.Effect) {
+	go func() {
+		callCtx, cancel := context.WithTimeout(ctx, rolloutCallTimeout)
+		defer cancel()
+		switch v := effect.(type) {
+		case leader.ReadRollouts:
+			stored, err := e.registry.ReadRollouts(callCtx)
+			e.deliver(ctx, rolloutsResult{term, stored, err})
+		case leader.StoreRollout:
+			err := e.registry.StoreRollout(callCtx, v.At, v.Record)
+			e.deliver(ctx, rolloutStored{term, v.Record, err})
+		case leader.ReportRollout:
+			err := e.registry.ReportRollout(callCtx, v.At, v.Service, v.Status)
+			e.deliver(ctx, rolloutReported{term, v.Service, v.Status, err})
+		}
+	}()
+}
+
+// handleRollouts handles the result of a call to the store about rollouts.
+func (e *Edge) handleRollouts(now time.Time, event any) {
+	leads := func(term azuretiller.Term) bool { return e.leader != nil && e.leader.Term() == term }
+	switch v := event.(type) {
+	case rolloutsResult:
+		e.logRolloutError(v.err, "failed to read rollouts", nil)
+		switch {
+		case leads(v.term):
+			e.runLeader(e.leader.RolloutsRead(now, v.stored, v.err))
+		case v.term == 0:
+			e.reads.rolloutsPending = false
+			if v.err == nil {
+				e.reads.rollouts, e.reads.lastRolloutsRead = &v.stored, now
+			}
+		}
+	case rolloutStored:
+		e.logRolloutError(v.err, "failed to store the progress of a rollout", log.Fields{"service": v.record.Order.Service, "state": v.record.Progress.State, "term": v.term})
+		if leads(v.term) {
+			e.runLeader(e.leader.RolloutStored(now, v.record, v.err))
+		}
+	case rolloutReported:
+		e.logRolloutError(v.err, "failed to report the status of a rollout", log.Fields{"service": v.service, "state": v.status.State, "term": v.term})
+		if leads(v.term) {
+			e.runLeader(e.leader.RolloutReported(now, v.service, v.status, v.err))
+		}
+		if v.err == nil {
+			e.common.Metrics.Tagged(map[string]string{"state": v.status.State.String()}).Counter("rollouts").Inc(1)
+		}
+	}
+}
+
+func (e *Edge) logRolloutError(err error, text string, fields log.Fields) {
+	if err != nil {
+		e.common.Metrics.Counter("rollout_calls_failed").Inc(1)
+		e.common.Log.WithError(err).WithFields(fields).Warn(text)
+	}
+}
+
+// startRolloutsRead reads the stored rollouts for a VM without a leader.
+func (e *Edge) startRolloutsRead(ctx context.Context) {
+	if !e.hasRollouts() || e.reads.rolloutsPending {
+		return
+	}
+	e.reads.rolloutsPending = true
+	e.callRollouts(ctx, 0, leader.ReadRollouts{})
+}
+
+// reportOrders logs the orders in a page of settings that cannot be carried out, and those that are ignored as the deployment has no rollouts.
+func (e *Edge) reportOrders(page azuretiller.SettingsPage) {
+	for _, c := range page.Changes {
+		if c.Rollout == nil {
+			continue
+		}
+		// The service may contain any bytes, so all but printable ASCII characters are escaped.
+		quoted := strconv.QuoteToASCII(string(c.Rollout.Service))
+		fields := log.Fields{"service": quoted[1 : len(quoted)-1]}
+		switch {
+		case c.Rollout.Invalid != nil:
+			e.common.Metrics.Counter("rollout_orders_invalid").Inc(1)
+			fields["reason"] = c.Rollout.Invalid
+			e.common.Log.WithFields(fields).Warn("invalid rollout order")
+		case !c.Rollout.Removed && !e.hasRollouts():
+			fields["target"] = c.Rollout.Order.Target
+			e.common.Log.WithFields(fields).Warn("rollout order ignored")
+		}
+	}
+}
+
+// restrictOwnServers closes the servers that this VM must not use because of a rollout, among those that it read from the store itself.
+func (e *Edge) restrictOwnServers(now time.Time, servers []message.Server) {
+	if !e.hasRollouts() {
+		return
+	}
+	var stored *azuretiller.StoredRollouts
+	if now.Sub(e.reads.lastRolloutsRead) < maxOwnServersAge {
+		stored = e.reads.rollouts
+	}
+	inView := map[azuretiller.InstanceID]bool{}
+	for _, s := range e.member.View().Servers {
+		inView[s.ID] = !s.Closed
+	}
+	leader.RestrictServers(now, servers, rolloutParams(e.processSettings.Bounds), e.registryCache.ServersByService(now, e.config), e.registryCache.Orders(now), stored, inView)
+}
+
+// closeUnrenewed returns the servers of the view without those that a leader may have withdrawn since this VM had contact to one.
+func closeUnrenewed(servers []message.Server, unreachableFor time.Duration) []message.Server {
+	if unreachableFor < leader.MaxViewUse {
+		return servers
+	}
+	list := servers
+	for i, s := range servers {
+		if s.Rollout != message.WhileRecent || s.Closed {
+			continue
+		}
+		if &list[0] == &servers[0] {
+			list = append([]message.Server(nil), servers...)
+		}
+		list[i].Closed = true
+	}
+	return list
+}
--- a/pkg/edge/servers.go
+++ b/pkg/edge/servers.go
@@ -39,6 +39,7 @@
 	for i := range servers {
 		servers[i].Success = unknownSuccess
 	}
+	e.restrictOwnServers(now, servers)
 	return servers
 }
 
--- a/pkg/leader/leader.go
+++ b/pkg/leader/leader.go
@@ -12,6 +12,7 @@
 	"github.com/azuretiller/azuretiller/pkg/crash"
 	"github.com/azuretiller/azuretiller/pkg/invariant"
 	"github.com/azuretiller/azuretiller/pkg/message"
+	"github.com/azuretiller/azuretiller/pkg/rollout"
 	"github.com/azuretiller/azuretiller/pkg/scheduler"
 	"github.com/azuretiller/azuretiller/pkg/shareledger"
 	"github.com/azuretiller/azuretiller/pkg/tokenbucket"
@@ -64,6 +65,13 @@
 	serversAwaitedUntil time.Time
 	// registered are the servers that SetServers received last.
 	registered map[azuretiller.ServiceID][]scheduler.Server
+	// inheritedUses are the uses of the servers of the former leader's view, nil after the first call of SetServers.
+	inheritedUses map[azuretiller.InstanceID]message.RolloutUse
+	rollouts      *rollouts
+	// serversKnown means that SetServers has been called.
+	serversKnown bool
+	// drainedBefore maps the host:port of each lost VM to the newest view that it had drained.
+	drainedBefore map[string]uint64
 	// leaving are the servers that told a VM that they are about to stop.
 	leaving map[azuretiller.InstanceID]leavingServer
 	// servers are the entries of the servers in the view.
@@ -86,6 +94,8 @@
 	heartbeat   message.Heartbeat
 	heartbeatAt time.Time
 	joinedAt    time.Time
+	// drainedView is the newest view of this term that the VM has drained, see Heartbeat.
+	drainedView uint64
 	// fullViewSentAt is when the full view was last sent to this VM alone.
 	fullViewSentAt time.Time
 }
@@ -108,6 +118,15 @@
 	requestID   string
 	fingerprint crash.Fingerprint
 	expiresAt   time.Time
+	// vm is the host:port of the VM that makes the attempt.
+	vm       string
+	route    azuretiller.RouteID
+	version  azuretiller.Version
+	deadline time.Time
+	// furtherAttempt means that it is not the first attempt of its request.
+	furtherAttempt bool
+	// controller is that of the service's rollout when the attempt was placed, and nil without one.
+	controller *rollout.Controller
 }
 
 // New returns the leader of a term, which was claimed with the given record of the shares of the rates. peers are the host:port of the VMs
@@ -136,6 +155,8 @@
 		ledger:           shareledger.New(now, term, self, rates),
 		loggedShare:      azuretiller.WholeRate,
 		handedOver:       map[azuretiller.Term]bool{},
+		rollouts:         newRollouts(p.Rollout, term),
+		drainedBefore:    map[string]uint64{},
 	}
 	l.ledger.SetWindow(p.RateTolerance.Window)
 	for _, peer := range peers {
@@ -158,6 +179,7 @@
 // SetParams replaces the parameters of the leader and of its schedulers.
 func (l *Leader) SetParams(p Params) {
 	l.params = p
+	l.rollouts.params = p.Rollout
 	l.limiter.SetTolerance(p.RateTolerance, tolerancePart)
 	l.ledger.SetWindow(p.RateTolerance.Window)
 	for _, s := range l.schedulers {
@@ -180,13 +202,16 @@
 // SetServers replaces the backend servers of all services.
 func (l *Leader) SetServers(now time.Time, services map[azuretiller.ServiceID][]scheduler.Server) []Effect {
 	l.serversAwaitedUntil = time.Time{}
-	l.registered = services
+	l.registered, l.inheritedUses, l.serversKnown = services, nil, true
 	return l.applyServers(now)
 }
 
 // applyServers passes the registered servers, with those that are leaving closed, to the schedulers and to the view.
 func (l *Leader) applyServers(now time.Time) []Effect {
 	services := l.openServers(now)
+	for id, s := range l.rollouts.services {
+		l.scheduler(id).SetExposer(s.exposer())
+	}
 	var effects []Effect
 	for service := range l.schedulers {
 		if _, ok := services[service]; !ok {
@@ -204,6 +229,13 @@
 // a leader changed.
 func (l *Leader) updateViewServers(now time.Time, services map[azuretiller.ServiceID][]scheduler.Server) {
 	list := ViewServers(now, services)
+	for i := range list {
+		if l.inheritedUses != nil {
+			list[i].Rollout = l.inheritedUses[list[i].ID]
+			continue
+		}
+		l.rollouts.roles.restrict(&list[i])
+	}
 	if !slices.Equal(list, l.servers) {
 		l.viewChanged = true
 	}
@@ -263,6 +295,7 @@
 		if now.Sub(m.heartbeatAt) > heartbeatTimeout {
 			delete(l.members, peer)
 			l.lost[peer] = now
+			l.drainedBefore[peer] = m.drainedView
 			l.viewChanged = true
 			effects = append(effects, LogLine{"vm lost", log.Fields{"vm": m.heartbeat.VM, "silent": now.Sub(m.heartbeatAt), "term": l.term}})
 			effects = append(effects, l.releaseAttempts(now, peer)...)
@@ -278,11 +311,14 @@
 	for ticket, attempt := range l.runningAttempts {
 		if now.After(attempt.expiresAt) {
 			delete(l.runningAttempts, ticket)
+			l.observeRollout(now, attempt, message.Cancelled, 0)
 		}
 	}
+	effects = append(effects, l.runRollouts(now)...)
 	if l.viewChanged && now.Sub(l.viewSentAt) >= viewMinInterval {
 		l.viewChanged = false
 		effects = append(effects, l.sendView(now)...)
 	}
+	l.noteWithdrawn()
 	return append(effects, l.refreshZones(now)...)
 }
--- a/pkg/leader/leaving.go
+++ b/pkg/leader/leaving.go
@@ -48,11 +48,15 @@
 			delete(l.leaving, id)
 		}
 	}
+	registered := l.registered
+	if l.inheritedUses == nil {
+		registered = l.rollouts.assign(now, registered)
+	}
 	if len(l.leaving) == 0 {
-		return l.registered
+		return registered
 	}
-	services := make(map[azuretiller.ServiceID][]scheduler.Server, len(l.registered))
-	for service, servers := range l.registered {
+	services := make(map[azuretiller.ServiceID][]scheduler.Server, len(registered))
+	for service, servers := range registered {
 		services[service] = l.withLeavingClosed(servers)
 	}
 	return services
@@ -64,7 +68,7 @@
 	for i := range list {
 		leaving, ok := l.leaving[list[i].ID]
 		list[i].Closed = list[i].Closed || ok && leaving.matches(list[i])
-		anyOpen = anyOpen || !list[i].Closed
+		anyOpen = anyOpen || !list[i].Closed && !list[i].Trial
 	}
 	if !anyOpen {
 		return servers
--- a/pkg/leader/members.go
+++ b/pkg/leader/members.go
@@ -76,6 +76,7 @@
 		effects = append(effects, LogLine{"vm joined", log.Fields{"vm": hb.VM, "zone": hb.Zone, "term": l.term}})
 	case m.heartbeat.Incarnation != hb.Incarnation:
 		restarted = true
+		m.drainedView = 0
 		effects = append(effects, l.releaseAttempts(now, from)...)
 		l.viewChanged = true
 	case m.heartbeat.Ready != hb.Ready || m.heartbeat.Leaving != hb.Leaving:
@@ -88,6 +89,9 @@
 		// The versions of each term start at 1.
 		hb.ViewVersion = 0
 	}
+	if hb.Term == l.term {
+		m.drainedView = hb.DrainedView
+	}
 	m.heartbeat = hb
 	m.heartbeatAt = now
 	delete(l.lost, from)
@@ -140,6 +144,7 @@
 
 // releaseAttempts releases the server slots and queue entries of a VM's requests.
 func (l *Leader) releaseAttempts(now time.Time, peer string) []Effect {
+	l.cancelAttempts(now, peer)
 	var effects []Effect
 	for service, s := range l.schedulers {
 		effects = append(effects, l.applyDecisions(now, service, s.RemoveVM(now, peer))...)
--- a/pkg/leader/params.go
+++ b/pkg/leader/params.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/azuretiller/azuretiller"
+	"github.com/azuretiller/azuretiller/pkg/rollout"
 	"github.com/azuretiller/azuretiller/pkg/scheduler"
 	"github.com/azuretiller/azuretiller/pkg/tokenbucket"
 )
@@ -13,6 +14,8 @@
 	Scheduler scheduler.Params
 	// RateTolerance is how far a team may exceed its rate.
 	RateTolerance tokenbucket.Tolerance
+	// Rollout bounds the exposure to the new version of a rollout.
+	Rollout rollout.Params
 }
 
 const (
--- a/pkg/leader/requests.go
+++ b/pkg/leader/requests.go
@@ -34,6 +34,9 @@
 		// The VM sends the request again.
 		return append(effects, Send{To: from, Message: message.Envelope{Call: call, Body: message.PlaceResponse{Queued: true, Term: l.term}}})
 	}
+	if l.awaitsRollouts(now, request.Backends) {
+		return append(effects, Send{To: from, Message: message.Envelope{Call: call, Body: message.PlaceResponse{Queued: true, Term: l.term}}})
+	}
 	if admitted, wait := l.crashes.Admit(fingerprint(request.Fingerprint), now); !admitted {
 		return refuse(azuretiller.CodeHeldBack, wait)
 	}
@@ -107,6 +110,9 @@
 				requestID:   d.ID,
 				fingerprint: fingerprint(d.Fingerprint),
 				expiresAt:   d.Deadline.Add(responseRetention),
+
+				vm: d.Key.From, route: d.Route, version: d.Server.Version, deadline: d.Deadline,
+				furtherAttempt: d.SubmittedBefore, controller: l.countPlaced(now, service, d),
 			}
 		}
 		effects = append(effects, l.decisionLogLine(service, d))
@@ -153,6 +159,7 @@
 		return effects
 	}
 	delete(l.runningAttempts, r.Ticket)
+	l.observeRollout(now, attempt, r.Result, r.Took)
 	switch r.Result {
 	case message.Reset:
 		if l.crashes.RecordCrash(attempt.fingerprint, azuretiller.ServerID(attempt.server), now) {
--- /dev/null
+++ b/pkg/leader/rollout_drain.go
@@ -0,0 +1,90 @@
+package leader
+
+import (
+	"time"
+
+	"github.com/azuretiller/azuretiller"
+	"github.com/azuretiller/azuretiller/pkg/message"
+	"github.com/azuretiller/azuretiller/pkg/rollout"
+)
+
+const (
+	// MaxViewUse is how long a VM without contact to the leader uses servers that a rollout may withdraw.
+	MaxViewUse = 2500 * time.Millisecond
+	// attemptGrace is the time after the deadline of an attempt without a report at which it counts as ended.
+	attemptGrace = 500 * time.Millisecond
+	// defaultLongestRequest is the assumed longest timeout of a request while there is no configuration.
+	defaultLongestRequest = 30 * time.Second
+)
+
+// oldInUse reports whether an attempt may still run on an old server of a service after the cutover, or a VM may still send one there.
+func (l *Leader) oldInUse(now time.Time, id azuretiller.ServiceID, s *serviceRollout) bool {
+	if s.phase() != rollout.Cutover || s.withdrawnIn == 0 || now.Sub(l.startedAt) < heartbeatTimeout {
+		// VMs that this leader does not know yet join it within heartbeatTimeout.
+		return true
+	}
+	for _, a := range l.runningAttempts {
+		if a.service == id && a.version != s.order.Target && now.Before(a.deadline.Add(attemptGrace)) {
+			return true
+		}
+	}
+	for _, m := range l.members {
+		if m.drainedView < s.withdrawnIn {
+			return true
+		}
+	}
+	return l.lostMayUseOld(now, s)
+}
+
+// lostMayUseOld reports whether a VM that does not follow this leader may still use old servers. Such a VM ceases to send requests there
+// MaxViewUse after its contact to a leader or its last read of the store, and the last ones end by their deadlines.
+func (l *Leader) lostMayUseOld(now time.Time, s *serviceRollout) bool {
+	longest := defaultLongestRequest
+	if l.config != nil {
+		longest = l.config.LongestTimeout()
+	}
+	for peer, since := range l.lost {
+		if l.drainedBefore[peer] >= s.withdrawnIn {
+			continue
+		}
+		if now.Before(laterOf(since, s.cutoverAt).Add(MaxViewUse + longest)) {
+			return true
+		}
+	}
+	return false
+}
+
+func laterOf(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// noteWithdrawn records the version of the view that first withdraws the old servers, after a view was sent or found unchanged.
+func (l *Leader) noteWithdrawn() {
+	for id, s := range l.rollouts.services {
+		if s.appliedPhase != rollout.Cutover || s.withdrawnIn > 0 || l.viewVersion == 0 {
+			continue
+		}
+		if l.viewWithdraws(id, s) {
+			s.withdrawnIn = l.viewVersion
+		}
+	}
+}
+
+// viewWithdraws reports whether the view that was sent last withdraws all old servers of a service.
+func (l *Leader) viewWithdraws(id azuretiller.ServiceID, s *serviceRollout) bool {
+	sent := map[azuretiller.InstanceID]message.RolloutUse{}
+	for _, server := range l.sentView.Servers {
+		if server.Service == id {
+			sent[server.ID] = server.Rollout
+		}
+	}
+	for _, server := range l.registered[id] {
+		if server.Version != s.order.Target && sent[server.ID] != message.Withdrawn {
+			return false
+		}
+	}
+	return len(l.registered[id]) > 0
+}
--- a/pkg/scheduler/exposer.go
+++ b/pkg/scheduler/exposer.go
@@ -22,3 +22,13 @@
 func (sc *Scheduler) mayExpose(now time.Time, s *server, w *waitingRequest) bool {
 	return !w.SubmittedBefore && sc.exposer != nil && s.freeCapacity(now) > 0 && sc.exposer.MayExpose(now, w.Route, s.ID)
 }
+
+// HasOpenServer reports whether a server may get requests without an Exposer.
+func (sc *Scheduler) HasOpenServer() bool {
+	for _, s := range sc.servers {
+		if !s.Closed && !s.Trial {
+			return true
+		}
+	}
+	return false
+}
