Bound how long servers of a running rollout are used without the store

Cause: a VM lost a minute before delayed the completion by 5.5 s, and a leader that does not know its successor could keep using withdrawn servers. Change: VMs without a leader use such servers for 2 s, also those that they read themselves; a leader that lost many VMs stops 2 s after the store confirmed it.

--- a/cmd/standin/pkg/backendserver/server.go
+++ b/cmd/standin/pkg/backendserver/server.go
@@ -58,6 +58,9 @@
 // HeaderRejectEarly is the header of requests that the server rejects with status 413 before it has read their body.
 const HeaderRejectEarly = "Standin-Reject-Early"
 
+// FirstVersion is the version of servers for which no other one was set.
+const FirstVersion = "v1"
+
 // Run is one execution of a request, as the server received it.
 type Run struct {
 	Attempt  string
@@ -73,9 +76,11 @@
 
 // Server is one backend server.
 type Server struct {
-	id       string
-	service  string
-	zone     string
+	id      string
+	service string
+	zone    string
+	// version is the one in the server's registry entry.
+	version  string
 	listener net.Listener
 
 	// address is the host:port that the server's registry entry contains.
@@ -100,7 +105,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen")
 	}
-	return &Server{id: id, service: service, zone: zone, listener: l, address: l.Addr().String(), incarnation: 1}, nil
+	return &Server{id: id, service: service, zone: zone, version: FirstVersion, listener: l, address: l.Addr().String(), incarnation: 1}, nil
 }
 
 // RegistryEntry returns the server's entry for the registry.
@@ -108,7 +113,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	data, err := json.Marshal(map[string]any{
-		"service": s.service, "address": s.address, "zone": s.zone, "version": "v1",
+		"service": s.service, "address": s.address, "zone": s.zone, "version": s.version,
 		"concurrencyLimit": 3, "state": state, "warmupLeft": "0ms", "sequence": sequence, "born": s.incarnation,
 	})
 	if err != nil {
@@ -123,6 +128,13 @@
 // Advertise sets the address in the server's registry entry, such as that of a proxy.
 func (s *Server) Advertise(address string) { s.address = address }
 
+// SetVersion sets the version in the server's registry entry.
+func (s *Server) SetVersion(version string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version = version
+}
+
 // ID returns the server's ID in the registry.
 func (s *Server) ID() azuretiller.InstanceID { return azuretiller.InstanceID(s.id) }
 
@@ -328,3 +340,10 @@
 		return framedResponse(http.StatusOK, attempt)
 	}
 }
+
+// Version returns the version in the server's registry entry.
+func (s *Server) Version() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.version
+}
--- a/cmd/standin/pkg/fleet/fleet.go
+++ b/cmd/standin/pkg/fleet/fleet.go
@@ -79,22 +79,42 @@
 	storeServer := &http.Server{Handler: f.Store.Handler(), ReadHeaderTimeout: time.Second}
 	context.AfterFunc(ctx, func() { _ = storeServer.Close() })
 	go func() { _ = storeServer.Serve(l) }()
-	for i := range servers {
+	if err := f.AddServers(ctx, servers, backendserver.FirstVersion); err != nil {
+		return nil, err
+	}
+	go f.register(ctx)
+	f.Configure(nil)
+	f.AddVMs(ctx, vms, platform.Bounds{})
+	return f, nil
+}
+
+// AddServers starts backend servers of a version.
+func (f *Fleet) AddServers(ctx context.Context, servers int, version string) error {
+	for range servers {
+		i := len(f.Servers)
 		server, err := backendserver.New(ctx, fmt.Sprint("i-", i), "service", fmt.Sprint("zone-", i%2))
 		if err != nil {
-			return nil, err
+			return err
 		}
+		server.SetVersion(version)
+		f.mu.Lock()
 		f.Servers = append(f.Servers, server)
 		f.states[server.ID()] = "ready"
+		f.mu.Unlock()
 		go server.Serve(ctx)
 	}
-	go f.register(ctx)
-	f.Configure(nil)
-	for i := range vms {
-		f.vms = append(f.vms, &vm{settings: f.settings(i)})
+	return nil
+}
+
+// AddVMs starts VMs whose settings have the bounds on rollouts of b.
+func (f *Fleet) AddVMs(ctx context.Context, vms int, b platform.Bounds) {
+	for range vms {
+		i := len(f.vms)
+		settings := f.settings(i)
+		settings.Bounds.ExposeShare, settings.Bounds.ExposeSlack, settings.Bounds.Rollback = b.ExposeShare, b.ExposeSlack, b.Rollback
+		f.vms = append(f.vms, &vm{settings: settings})
 		f.Start(ctx, i)
 	}
-	return f, nil
 }
 
 // register writes the registry entries of all backend servers once per heartbeat interval.
--- a/cmd/standin/pkg/keyedstore/store.go
+++ b/cmd/standin/pkg/keyedstore/store.go
@@ -318,3 +318,22 @@
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(v)
 }
+
+// Newest returns the newest value of a key, nil if there is none.
+func (s *Store) Newest(name, key string) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, record := range slices.Backward(s.topic(name).records) {
+		if k, value, ok := splitRecord(record); ok && k == key {
+			return value
+		}
+	}
+	return nil
+}
+
+// Count returns the number of records of a topic.
+func (s *Store) Count(name string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.topic(name).records)
+}
--- a/pkg/edge/control.go
+++ b/pkg/edge/control.go
@@ -194,6 +194,7 @@
 	e.runLeader(e.leader.SetServers(now, services))
 	if !settingsUnknown {
 		e.runLeader(e.leader.SetOrders(now, e.registryCache.Orders(now)))
+		e.measureRollouts(now)
 	}
 }
 
@@ -381,7 +382,7 @@
 	}
 	listed := listedServers{term: view.Term, version: view.Version}
 	if !s.LeaderReachable && now.Sub(e.reads.lastRegistryRead()) < maxOwnServersAge && e.member.LeaderUnreachableFor(now) > leaderlessReadAfter {
-		s.Servers = e.ownServers(now)
+		s.Servers = closeUnrenewed(e.ownServers(now), e.member.LeaderUnreachableFor(now))
 		listed = listedServers{readAt: e.reads.lastServersRead}
 	}
 	if listed != e.listed {
--- a/pkg/edge/rollouts.go
+++ b/pkg/edge/rollouts.go
@@ -112,6 +112,22 @@
 	e.callRollouts(ctx, 0, leader.ReadRollouts{})
 }
 
+// measureRollouts updates the gauges of the rollouts that this VM decides about as the leader.
+func (e *Edge) measureRollouts(now time.Time) {
+	if !e.hasRollouts() {
+		return
+	}
+	for service, state := range e.leader.RolloutStates(now) {
+		if state.Decision == nil {
+			continue
+		}
+		metrics := e.common.Metrics.Tagged(map[string]string{"service": string(service)})
+		metrics.Gauge("rollout_exposed").Update(float64(state.Decision.Used))
+		metrics.Gauge("rollout_requests").Update(float64(state.Decision.Progress.Requests))
+		metrics.Gauge("rollout_log_odds").Update(state.Decision.LogOdds)
+	}
+}
+
 // reportOrders logs the orders in a page of settings that cannot be carried out, and those that are ignored as the deployment has no rollouts.
 func (e *Edge) reportOrders(page azuretiller.SettingsPage) {
 	for _, c := range page.Changes {
--- a/pkg/leader/leader.go
+++ b/pkg/leader/leader.go
@@ -70,6 +70,8 @@
 	rollouts      *rollouts
 	// serversKnown means that SetServers has been called.
 	serversKnown bool
+	// confirmedAt is when the store last confirmed the term, zero if it has not.
+	confirmedAt time.Time
 	// drainedBefore maps the host:port of each lost VM to the newest view that it had drained.
 	drainedBefore map[string]uint64
 	// leaving are the servers that told a VM that they are about to stop.
--- a/pkg/leader/rates.go
+++ b/pkg/leader/rates.go
@@ -105,6 +105,7 @@
 // ConfirmTerm records that a call to the store, which took the given time, returned a leader record of this term with the given shares.
 func (l *Leader) ConfirmTerm(now time.Time, took time.Duration, rates azuretiller.RateLedger) {
 	l.ledger.Confirm(now, took, rates)
+	l.confirmedAt = now.Add(-took)
 }
 
 // RatesWritten handles the result of WriteRates.
--- a/pkg/leader/rollout_drain.go
+++ b/pkg/leader/rollout_drain.go
@@ -3,14 +3,19 @@
 import (
 	"time"
 
+	"github.com/apex/log"
+
 	"github.com/azuretiller/azuretiller"
 	"github.com/azuretiller/azuretiller/pkg/message"
 	"github.com/azuretiller/azuretiller/pkg/rollout"
 )
 
 const (
-	// MaxViewUse is how long a VM without contact to the leader uses servers that a rollout may withdraw.
-	MaxViewUse = 2500 * time.Millisecond
+	// MaxViewUse is how long a VM without contact to the leader uses servers that a rollout may withdraw. A lost leader is replaced sooner.
+	MaxViewUse = 2 * time.Second
+	// maxUnconfirmed is how long a leader that lost many VMs uses such servers since the store last confirmed its term, as a successor may have
+	// withdrawn them.
+	maxUnconfirmed = MaxViewUse
 	// attemptGrace is the time after the deadline of an attempt without a report at which it counts as ended.
 	attemptGrace = 500 * time.Millisecond
 	// defaultLongestRequest is the assumed longest timeout of a request while there is no configuration.
@@ -37,7 +42,8 @@
 }
 
 // lostMayUseOld reports whether a VM that does not follow this leader may still use old servers. Such a VM ceases to send requests there
-// MaxViewUse after its contact to a leader or its last read of the store, and the last ones end by their deadlines.
+// MaxViewUse after its contact to a leader, and the last ones end by their deadlines. The leader that it follows, if there is another one,
+// has not been confirmed since this term was claimed, see suspendRollouts.
 func (l *Leader) lostMayUseOld(now time.Time, s *serviceRollout) bool {
 	longest := defaultLongestRequest
 	if l.config != nil {
@@ -47,18 +53,32 @@
 		if l.drainedBefore[peer] >= s.withdrawnIn {
 			continue
 		}
-		if now.Before(laterOf(since, s.cutoverAt).Add(MaxViewUse + longest)) {
+		if now.Before(since.Add(MaxViewUse + longest)) {
 			return true
 		}
 	}
 	return false
 }
 
-func laterOf(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
+// suspendRollouts stops the use of the servers of running rollouts, which a successor may have withdrawn, while this leader may have one without knowing it. It
+// reports whether that changed. While only the store is unavailable, there is no successor, and the VMs still follow this leader.
+func (l *Leader) suspendRollouts(now time.Time) bool {
+	confirmed := l.startedAt
+	if l.confirmedAt.After(confirmed) {
+		confirmed = l.confirmedAt
+	}
+	r := l.rollouts
+	running := false
+	for _, s := range r.services {
+		running = running || s.final == 0
+	}
+	suspended := running && now.Sub(confirmed) > maxUnconfirmed && (r.suspended || l.peakMembers > 1 && l.mayBePartitioned())
+	if suspended == r.suspended {
+		return false
 	}
-	return b
+	r.suspended = suspended
+	r.log("rollouts suspended", log.Fields{"suspended": suspended, "members": len(l.members), "unconfirmed": now.Sub(confirmed)})
+	return true
 }
 
 // noteWithdrawn records the version of the view that first withdraws the old servers, after a view was sent or found unchanged.
--- a/pkg/leader/rollout_roles.go
+++ b/pkg/leader/rollout_roles.go
@@ -85,7 +85,7 @@
 	for _, s := range r.services {
 		if phase := s.phase(); phase != s.appliedPhase {
 			s.appliedPhase = phase
-			s.cutoverAt, s.withdrawnIn = now, 0
+			s.withdrawnIn = 0
 		}
 	}
 	return assigned
@@ -108,9 +108,12 @@
 		switch r.roles[list[i].ID] {
 		case roleTrial:
 			list[i].Trial = true
+			list[i].Closed = list[i].Closed || r.suspended
+		case roleOld, roleNew:
+			list[i].Closed = list[i].Closed || r.suspended
 		case roleClosed, roleWithdrawn:
 			list[i].Closed = true
-		case roleOpen, roleOld, roleNew:
+		case roleOpen:
 		}
 	}
 	return list
--- a/pkg/leader/rollout_run.go
+++ b/pkg/leader/rollout_run.go
@@ -75,7 +75,7 @@
 		r.wasReady = true
 	}
 	effects := l.tickControllers(now)
-	changed := r.wasReady != wasReady
+	changed := l.suspendRollouts(now) || r.wasReady != wasReady
 	for id, s := range r.services {
 		s.settle(now, r.store.stored.Statuses[id] == azuretiller.RolloutStatus{Target: s.order.Target, State: azuretiller.RolloutActive})
 		if phase := s.phase(); phase != s.appliedPhase {
--- a/pkg/leader/rollouts.go
+++ b/pkg/leader/rollouts.go
@@ -28,6 +28,8 @@
 	roles serverRoles
 	// wasReady means that the roles have been determined with all of this.
 	wasReady bool
+	// suspended means that servers of services with a running rollout are not used, see Leader.suspendRollouts.
+	suspended bool
 	// logs are the lines that have not been returned as effects yet.
 	logs []Effect
 }
@@ -57,8 +59,7 @@
 	next, sent *azuretiller.RolloutProgress
 	// stored is the progress that the store confirmed, with state zero if it confirmed none.
 	stored azuretiller.RolloutProgress
-	// cutoverAt is when the old servers were withdrawn by this leader, and withdrawnIn the version of the first view that says so.
-	cutoverAt   time.Time
+	// withdrawnIn is the version of the first view that withdraws the old servers, zero if there is none.
 	withdrawnIn uint64
 	// appliedPhase is the phase with which the roles of the servers were determined.
 	appliedPhase rollout.Phase
