Compare the durations of both versions by their distribution

Cause: a threshold for slow responses says little where service times vary much; a version that hangs looked good because good responses come first. Change: density of the old servers' durations, overdue attempts as evidence, smaller visits, and a drain time from recent attempts only.

--- a/pkg/rollout/controller.go
+++ b/pkg/rollout/controller.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/azuretiller/azuretiller"
-	"github.com/azuretiller/azuretiller/pkg/message"
 )
 
 // Params are the bounds of the deployment.
@@ -43,7 +42,11 @@
 	logs    []LogLine
 	// logOdds is the log odds that the version is bad, as of the last Tick.
 	logOdds float64
-	paused  bool
+	// storedLogOdds is what the former leader stored.
+	storedLogOdds float64
+	paused        bool
+	// cutoverDue is the time of the cutover, once it has come.
+	cutoverDue time.Time
 }
 
 // New returns the controller of a rollout. If the stored progress belongs to another target version, or is empty, the rollout
@@ -62,11 +65,11 @@
 		focus: newFocus(), reference: newReference(), inFlight: newInFlight(),
 		evidence: newEvidence(now, min(maxStoredLogOdds, max(-maxStoredLogOdds, stored.LogOdds))),
 		bad:      stored.Bad, state: stored.State, wantState: azuretiller.RolloutActive, cutover: stored.Cutover, wantCutover: stored.Cutover,
-		logOdds: stored.LogOdds,
+		logOdds: stored.LogOdds, storedLogOdds: stored.LogOdds,
 	}
 	c.exposure = exposure{
 		params: p, started: started, requests: stored.Requests, countedSince: now,
-		confirmed: stored.Reserved, attempted: stored.Reserved, used: stored.Reserved,
+		successor: stored.Reserved > 0, confirmed: stored.Reserved, attempted: stored.Reserved, used: stored.Reserved,
 	}
 	c.exposure.cutoverAt = c.cutoverAt()
 	if c.bad >= badCountLimit {
@@ -124,7 +127,7 @@
 	}
 	available := c.exposure.available(now)
 	return available > 0 && !c.reference.shedding(now) &&
-		c.focus.allows(route, server, available, c.exposure.visitSize(now), len(c.reference.routes))
+		c.focus.allows(route, server, available, c.exposure.visitSize(), len(c.reference.routes))
 }
 
 // Observe records the result of an attempt on a server of either version. Each attempt that Expose admitted is observed once,
@@ -144,9 +147,13 @@
 
 // judge takes a response of a target server into account.
 func (c *Controller) judge(now time.Time, o Outcome) {
-	kind := c.reference.classify(o)
+	c.judgeAs(now, o, c.reference.classify(o))
+}
+
+func (c *Controller) judgeAs(now time.Time, o Outcome, kind responseKind) {
 	if kind.bad() {
 		c.bad++
+		c.focus.countBad(o.Server)
 		if c.bad >= badCountLimit && c.badSince.IsZero() {
 			c.badSince = now
 		}
@@ -154,8 +161,7 @@
 	if !kind.evidence() {
 		return
 	}
-	route := c.reference.route(o.Route)
-	c.evidence.observe(now, o, kind, route.failureRate, route.slowShare)
+	c.evidence.observe(now, o, kind, c.reference.route(o.Route))
 }
 
 // Phase returns the current phase. It is Cutover only after the store confirmed the cutover, and Completed only after it
@@ -174,13 +180,13 @@
 	}
 }
 
-// overdue observes as slow the attempts that run for very long.
+// overdue observes the attempts that run for very long.
 func (c *Controller) overdue(now time.Time) {
 	limit := func(route azuretiller.RouteID) time.Duration {
 		return max(overdueAfter, time.Duration(overdueFactor*float64(c.reference.threshold(route))))
 	}
 	c.inFlight.overdue(now, limit, func(server azuretiller.InstanceID, route azuretiller.RouteID) bool {
-		c.judge(now, Outcome{Route: route, Server: server, OnTarget: true, Result: message.TimedOut, Took: limit(route)})
+		c.judgeAs(now, Outcome{Route: route, Server: server, OnTarget: true, Took: limit(route)}, overdueResponse)
 		return true
 	})
 }
--- a/pkg/rollout/decide.go
+++ b/pkg/rollout/decide.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/azuretiller/azuretiller"
-	"github.com/azuretiller/azuretiller/pkg/message"
 )
 
 // Tick is called several times a second with the servers of both versions, and returns what to do.
@@ -46,13 +45,17 @@
 	c.exposure.cutoverAt = c.cutoverAt()
 }
 
-// cutoverAt returns the time of the cutover. It leaves time for the last requests on old servers.
+// cutoverAt returns the time of the cutover. It leaves time for the last requests on old servers. It no longer changes once
+// it has come, as a long attempt that ends afterwards would otherwise turn a good version into a late one.
 func (c *Controller) cutoverAt() time.Time {
+	if !c.cutoverDue.IsZero() {
+		return c.cutoverDue
+	}
 	return c.deadline.Add(-cutoverMargin - c.drainTime())
 }
 
 func (c *Controller) drainTime() time.Duration {
-	return min(maxDrain, max(minDrain, c.reference.longest))
+	return min(maxDrain, max(minDrain, c.reference.longest, c.reference.longestBefore))
 }
 
 // overseeExposure updates the servers in focus and pauses the exposure after too many bad responses.
@@ -62,25 +65,41 @@
 		c.paused = paused
 		c.log("rollout exposure", map[string]any{"paused": paused, "bad": c.bad, "logOdds": c.logOdds})
 	}
-	visitSize := c.exposure.visitSize(now)
-	c.focus.setAvailable(c.exposure.available(now), visitSize)
-	c.focus.update(now, s.Target, visitsFor(c.exposure.rate(now), s.Target, c.reference.meanDuration()), visitSize)
+	slots := 0
+	for _, server := range s.Target {
+		slots += max(1, server.Slots)
+	}
+	c.exposure.slots = slots / max(1, len(s.Target))
+	visitSize := c.exposure.visitSize()
+	available := c.exposure.available(now)
+	c.focus.setAvailable(available, visitSize)
+	// Further servers take the attempts that a slow or hanging server does not.
+	backlog := max(0, available/visitSize-1)
+	visits := visitsFor(c.exposure.rate(now), c.exposure.slots, c.reference.meanDuration()) + backlog
+	c.focus.update(now, s.Target, visits, visitSize)
 }
 
 // decideTrial decides on the cutover or on the end of the trial.
 func (c *Controller) decideTrial(now time.Time, s Servers) {
 	cutoverAt := c.cutoverAt()
+	if c.cutoverDue.IsZero() && !now.Before(cutoverAt) {
+		c.cutoverDue = cutoverAt
+	}
+	latest := c.deadline.Add(-cutoverMargin - minDrain)
+	if extended := cutoverAt.Add(2 * cutoverExtension); extended.After(latest) {
+		latest = extended
+	}
 	switch {
 	case c.logOdds >= badLogOdds:
 		c.revert("the target version is bad")
 	case c.wantCutover:
-		if now.After(cutoverAt.Add(2 * cutoverExtension)) {
+		if now.After(latest) {
 			c.revert("the cutover could not be stored in time")
 		}
 	case now.Before(cutoverAt):
-	case now.After(cutoverAt.Add(2 * cutoverExtension)):
+	case now.After(latest):
 		c.revert("too late for the cutover")
-	case c.good(now, s, goodLogOdds):
+	case c.good(now, s, goodLogOdds) && c.evidence.sufficient(c.focus.count()):
 		c.startCutover()
 	case now.Before(cutoverAt.Add(cutoverExtension)):
 	case c.good(now, s, lateGoodLogOdds):
@@ -103,15 +122,20 @@
 	if s.OldInUse || len(s.Target) == 0 {
 		return
 	}
-	if c.logOdds < 0 || !now.Before(c.deadline.Add(-completionGrace)) {
+	last := !now.Before(c.deadline.Add(-completionGrace))
+	switch {
+	case last && c.logOdds > completionLogOdds:
+		c.revert("the target version is probably bad")
+	case last || c.logOdds < 0:
 		c.wantState = azuretiller.RolloutCompleted
 		c.logVerdict("rollout completion")
 	}
 }
 
-// good reports whether there is enough evidence that the version is good. Attempts that already take too long count as slow.
+// good reports whether there is enough evidence that the version is good. Attempts that already take too long count as overdue.
 func (c *Controller) good(now time.Time, s Servers, threshold float64) bool {
-	if c.logOdds > threshold || !c.evidence.sufficient(c.focus.count()) || len(s.Target) == 0 {
+	sufficient := c.evidence.sufficient(c.focus.count()) || c.storedLogOdds <= trustedStoredLogOdds
+	if c.logOdds > threshold || !sufficient || len(s.Target) == 0 {
 		return false
 	}
 	late := c.evidence.clone()
@@ -119,9 +143,8 @@
 		return time.Duration(overdueFactor * float64(c.reference.threshold(route)))
 	}
 	c.inFlight.overdue(now, limit, func(server azuretiller.InstanceID, id azuretiller.RouteID) bool {
-		route := c.reference.route(id)
-		o := Outcome{Route: id, Server: server, OnTarget: true, Result: message.Succeeded}
-		late.observe(now, o, slowResponse, route.failureRate, route.slowShare)
+		o := Outcome{Route: id, Server: server, OnTarget: true, Took: limit(id)}
+		late.observe(now, o, overdueResponse, c.reference.route(id))
 		return false
 	})
 	return late.logOdds() <= threshold
--- a/pkg/rollout/evidence.go
+++ b/pkg/rollout/evidence.go
@@ -17,30 +17,34 @@
 	// onsetInterval is the interval of the times at which a version may turn bad.
 	onsetInterval = time.Second
 	// laterOnset is the prior probability that a version turns bad in a given interval after the start of the trial.
-	laterOnset = 0.04
+	laterOnset = 0.03
 	// initialOnset is the prior probability that a version is bad from the start.
-	initialOnset = 0.5
+	initialOnset = 0.7
 	// allRoutes is the route of hypotheses that concern all routes, and allRoutesWeight their prior probability.
 	allRoutes       = -1
-	allRoutesWeight = 0.65
+	allRoutesWeight = 0.7
 	// maxHypotheses limits the memory and the time of an observation.
 	maxHypotheses = 700
 )
 
-// serverState describes what a server does on its own, whatever its version.
-type serverState struct{ probability, failureRate, slowShare float64 }
+// serverState describes what a server does on its own, whatever its version: a share of its responses fails, or takes slowFactor
+// times longer.
+type serverState struct{ probability, failureRate, slowShare, slowFactor float64 }
 
 // states returns the states with their probabilities. They assume the largest share of gray servers that occurs (3 in 10).
 func states() [serverStates]serverState {
-	return [serverStates]serverState{{0.7, 0, 0}, {0.12, 0.35, 0}, {0.14, 0.75, 0}, {0.04, 0, 0.6}}
+	return [serverStates]serverState{{0.7, 0, 0, 1}, {0.12, 0.35, 0, 1}, {0.15, 0.75, 0, 1}, {0.03, 0, 0.75, 4}}
 }
 
 // fault is a way in which a version may be bad on all of its servers.
-type fault struct{ weight, failureRate, slowShare float64 }
+type fault struct{ weight, failureRate, slowShare, slowFactor float64 }
 
 // faults returns the kinds of bad versions that are considered.
 func faults() []fault {
-	return []fault{{0.1, 0.15, 0}, {0.2, 0.3, 0}, {0.22, 0.6, 0}, {0.2, 0.95, 0}, {0.13, 0, 0.6}, {0.15, 0, 0.95}}
+	return []fault{
+		{0.05, 0.15, 0, 1}, {0.2, 0.3, 0, 1}, {0.22, 0.6, 0, 1}, {0.2, 0.95, 0, 1},
+		{0.13, 0, 0.97, 3}, {0.13, 0, 0.97, 5}, {0.07, 0, 0.5, 4},
+	}
 }
 
 // hypothesis is one way in which the version may be bad.
@@ -122,8 +126,8 @@
 	return index
 }
 
-// observe takes a response of a target server into account, compared with those of healthy old servers for its route.
-func (e *evidence) observe(now time.Time, o Outcome, kind responseKind, failureRate, slowShare float64) {
+// observe takes a response of a target server into account, compared with what is normal for its route.
+func (e *evidence) observe(now time.Time, o Outcome, kind responseKind, normal *routeReference) {
 	e.advance(now)
 	route := e.route(o.Route)
 	s := e.servers[o.Server]
@@ -142,15 +146,15 @@
 	s.responses++
 	e.responses++
 
-	normal := e.likelihoods(kind, fault{}, failureRate, slowShare)
-	goodLikelihood := s.good.update(decay, &e.states, &normal)
+	good := e.likelihoods(kind, o.Took, fault{slowFactor: 1}, normal)
+	goodLikelihood := s.good.update(decay, &e.states, &good)
 	faulty := make([]stateVector, len(e.faults))
 	for i, f := range e.faults {
-		faulty[i] = e.likelihoods(kind, f, failureRate, slowShare)
+		faulty[i] = e.likelihoods(kind, o.Took, f, normal)
 	}
 	for i := range e.hypotheses {
 		h := &e.hypotheses[i]
-		likelihoods := &normal
+		likelihoods := &good
 		if h.route == allRoutes || h.route == route {
 			likelihoods = &faulty[h.fault]
 		}
@@ -158,19 +162,35 @@
 	}
 }
 
-// likelihoods returns the probability of the kind of response in each state of the server.
-func (e *evidence) likelihoods(kind responseKind, f fault, failureRate, slowShare float64) stateVector {
+// likelihoods returns the probability of the response in each state of the server. For a successful response it is the density of
+// its duration.
+func (e *evidence) likelihoods(kind responseKind, took time.Duration, f fault, normal *routeReference) stateVector {
+	duration := func(factor float64) float64 {
+		if !normal.durations.known() {
+			return 1
+		}
+		scaled := time.Duration(float64(took) / factor)
+		if kind == overdueResponse {
+			return normal.durations.exceeds(scaled)
+		}
+		return normal.durations.densityAt(scaled)
+	}
+	unchanged, faulty := duration(1), duration(f.slowFactor)
 	var v stateVector
 	for i, s := range e.states {
-		failed := 1 - (1-failureRate)*(1-s.failureRate)*(1-f.failureRate)
-		slow := (1 - failed) * (1 - (1-slowShare)*(1-s.slowShare)*(1-f.slowShare))
+		failed := 1 - (1-normal.failureRate)*(1-s.failureRate)*(1-f.failureRate)
+		succeeded := unchanged
+		if s.slowShare > 0 {
+			succeeded += s.slowShare * (duration(s.slowFactor) - unchanged)
+		}
+		succeeded += f.slowShare * (faulty - succeeded)
 		switch kind {
 		case failedResponse:
 			v[i] = failed
-		case slowResponse:
-			v[i] = slow
+		case overdueResponse:
+			v[i] = failed + (1-failed)*succeeded
 		default:
-			v[i] = 1 - failed - slow
+			v[i] = (1 - failed) * succeeded
 		}
 	}
 	return v
--- a/pkg/rollout/exposure.go
+++ b/pkg/rollout/exposure.go
@@ -14,6 +14,10 @@
 	// countedSince.
 	requests, counted int
 	countedSince      time.Time
+	// successor means that a former leader reserved attempts.
+	successor bool
+	// slots is the mean number of slots of a target server.
+	slots int
 	// confirmed is the stored high-water mark, and attempted the largest one that may have been stored.
 	confirmed, attempted int
 	// used counts the attempts, including all that former leaders reserved; placed counts those of this leader.
@@ -29,6 +33,9 @@
 func (e *exposure) paced(now time.Time) float64 {
 	elapsed := now.Sub(e.started).Seconds() / max(e.cutoverAt.Sub(e.started).Seconds(), 1)
 	slackPart := initialSlack + (1-initialSlack)*min(1, max(0, elapsed))
+	if e.successor {
+		return exposureMargin * (successorRequestShare*e.params.ExposeShare*float64(e.requests) + successorSlackShare*e.params.ExposeSlack)
+	}
 	return exposureMargin * (trialRequestShare*e.params.ExposeShare*float64(e.requests) + trialSlackShare*slackPart*e.params.ExposeSlack)
 }
 
@@ -54,14 +61,12 @@
 }
 
 // visitSize returns the number of attempts for each visit of a target server.
-func (e *exposure) visitSize(now time.Time) int {
-	return int(min(maxVisit, max(minVisit, e.expected(now)/visitsPerTrial)))
-}
+func (e *exposure) visitSize() int { return max(minVisit, e.slots+visitSurplus) }
 
 // nextBlock returns the high-water mark to store next, if one is needed now and the bound allows it. It is never smaller than
 // one that may have been stored.
 func (e *exposure) nextBlock(now time.Time) (int, bool) {
-	visit := e.visitSize(now)
+	visit := e.visitSize()
 	if e.confirmed-e.used >= visit || e.paced(now)+float64(visit) <= float64(e.confirmed) {
 		return 0, false
 	}
--- a/pkg/rollout/focus.go
+++ b/pkg/rollout/focus.go
@@ -36,7 +36,9 @@
 	present bool
 	visits  int
 	// left is the number of attempts that remain of its visit, or 0 if it is not in focus.
-	left     int
+	left int
+	// bad are the bad responses since the visit began.
+	bad      int
 	lastUsed time.Time
 }
 
@@ -79,7 +81,7 @@
 			return
 		}
 		next.visits++
-		next.left = max(visitSize, next.Slots)
+		next.left, next.bad = visitSize, 0
 		next.lastUsed = now
 	}
 }
@@ -129,6 +131,16 @@
 	}
 }
 
+// countBad records a bad response.
+func (f *focus) countBad(id azuretiller.InstanceID) {
+	if s := f.byID[id]; s != nil {
+		s.bad++
+		if s.bad >= visitBad {
+			s.left = 0
+		}
+	}
+}
+
 // count returns the number of target servers.
 func (f *focus) count() int {
 	count := 0
@@ -141,14 +153,6 @@
 }
 
 // visitsFor returns the number of servers that together take the rate of attempts when all of their slots are in use.
-func visitsFor(rate float64, servers []Server, mean time.Duration) int {
-	slots := 0
-	for _, s := range servers {
-		slots += max(1, s.Slots)
-	}
-	if slots == 0 {
-		return 1
-	}
-	perServer := float64(slots) / float64(len(servers)) / max(mean.Seconds(), 0.01)
-	return max(1, int(math.Ceil(rate/perServer)))
+func visitsFor(rate float64, slots int, mean time.Duration) int {
+	return max(1, int(math.Ceil(rate*mean.Seconds()/float64(max(1, slots)))))
 }
--- a/pkg/rollout/inflight.go
+++ b/pkg/rollout/inflight.go
@@ -8,7 +8,9 @@
 )
 
 // inFlight are the attempts on target servers that have not been observed.
-type inFlight struct{ attempts map[azuretiller.InstanceID][]attempt }
+type inFlight struct {
+	attempts map[azuretiller.InstanceID][]attempt
+}
 
 type attempt struct {
 	route azuretiller.RouteID
--- a/pkg/rollout/params.go
+++ b/pkg/rollout/params.go
@@ -8,8 +8,12 @@
 	exposureMargin = 0.9
 	// trialSlackShare and trialRequestShare are the parts of ExposeSlack and of ExposeShare that may be used before the cutover. The
 	// rest is left for the time between the cutover and a verdict on a version that turns bad after it.
-	trialSlackShare   = 0.85
-	trialRequestShare = 0.6
+	trialSlackShare   = 0.95
+	trialRequestShare = 0.75
+	// successorSlackShare and successorRequestShare are the same for a new leader, which cannot know the unused part of the last
+	// block and has to collect evidence again.
+	successorSlackShare   = 1
+	successorRequestShare = 0.9
 	// initialSlack is the part of the trial's slack that may be used at once. The rest becomes available evenly until the cutover,
 	// so that a version that turns bad later is noticed.
 	initialSlack = 0.15
@@ -26,7 +30,9 @@
 	cutoverMargin = 1300 * time.Millisecond
 	// minDrain and maxDrain limit the time that is left for the last requests on old servers.
 	minDrain = 400 * time.Millisecond
-	maxDrain = 3 * time.Second
+	maxDrain = 4500 * time.Millisecond
+	// drainWindow is the time after which the longest attempt on an old server no longer counts.
+	drainWindow = 3 * time.Second
 	// cutoverExtension is how much later the cutover may be if the verdict is uncertain.
 	cutoverExtension = 500 * time.Millisecond
 	// completionGrace is the time before the time limit from which a completion is no longer put off by suspicion.
@@ -37,12 +43,16 @@
 	badLogOdds = 6
 	// goodLogOdds is the log odds up to which the verdict is good, and lateGoodLogOdds the same when no more time is left.
 	goodLogOdds     = -2
-	lateGoodLogOdds = -0.7
+	lateGoodLogOdds = 0
+	// completionLogOdds are the log odds up to which a rollout is completed after the cutover when no time is left.
+	completionLogOdds = 1.5
 	// minResponses and minServers are the numbers of responses and of servers without which no verdict is good.
 	minResponses = 8
 	minServers   = 3
 	// maxStoredLogOdds limits what a new leader takes over from the log odds of its predecessor.
 	maxStoredLogOdds = 4
+	// trustedStoredLogOdds are the log odds of the predecessor with which a new leader may decide without responses of its own.
+	trustedStoredLogOdds = -3
 
 	// badCountLimit is the number of bad responses after which Params.Rollback is counted. The operator counts from the 50th.
 	badCountLimit = 45
@@ -52,21 +62,22 @@
 	// gray servers may have caused them.
 	trustedLogOdds = -2
 
-	// minVisit and maxVisit limit the number of attempts that a target server gets before the next one is in focus. Many
-	// servers are visited because a gray server says nothing about its version.
-	minVisit = 5
-	maxVisit = 12
-	// visitsPerTrial is the intended number of visits.
-	visitsPerTrial = 9
+	// minVisit is the least number of attempts that a target server gets before the next one is in focus, and visitSurplus how many
+	// it gets beyond its slots. Many servers are visited because a gray server says nothing about its version.
+	minVisit     = 5
+	visitSurplus = 3
+	// visitBad is the number of bad responses that end a visit, since more of them could also come from a gray server.
+	visitBad = 3
 	// visitTimeout ends the visit of a server that gets no attempts, as it may be full of attempts that hang.
-	visitTimeout = 1500 * time.Millisecond
+	visitTimeout = 800 * time.Millisecond
 
 	// sheddingShare is the share of shed attempts on old servers from which there is no exposure, as it would yield no evidence.
 	sheddingShare = 0.3
 
-	// overdueAfter is the least time after which an attempt without a result counts as slow. It is longer than the time in
-	// which the leader notices that the VM of the attempt is lost.
-	overdueAfter = 2500 * time.Millisecond
+	// overdueAfter is the least time after which an attempt without a result counts as failed. Without it, the responses of a version
+	// that hangs would look good, as the good ones come first. It is longer than the time in which the leader usually
+	// notices that the VM of the attempt is lost.
+	overdueAfter = 1200 * time.Millisecond
 	// overdueFactor is the least time in multiples of the threshold of slow responses.
 	overdueFactor = 1.5
 )
--- a/pkg/rollout/reference.go
+++ b/pkg/rollout/reference.go
@@ -19,19 +19,15 @@
 	trimmedShare = 0.35
 	// wholeFailureRate is the failure rate of all old servers together that gray servers do not explain.
 	wholeFailureRate = 0.3
-	// priorFailureRate, priorSlowShare and priorResponses are the assumed failure rate and share of slow responses, and the
-	// number of responses that they are worth.
+	// priorFailureRate is the assumed failure rate, and priorResponses the number of responses that it is worth.
 	priorFailureRate = 0.015
-	priorSlowShare   = 0.03
 	priorResponses   = 15
-	// keptDurations is the number of durations for each route from which the threshold of slow responses is computed.
-	keptDurations = 200
 	// slowFactor and slowOffset define a slow response by the median of the old servers: a response of a bad version takes several
 	// times longer, and links add some time.
 	slowFactor = 2.2
-	slowOffset = 30 * time.Millisecond
-	// minDurations is the number of durations below which no response counts as slow.
-	minDurations = 5
+	// slowQuantile is the least share of the responses of the old servers that are not slow.
+	slowQuantile = 0.93
+	slowOffset   = 30 * time.Millisecond
 	// minTally is the decayed number of responses of a server below which it does not count.
 	minTally = 0.2
 	// shedMemory is the time in which the counts of shed attempts decay to 1/e.
@@ -41,20 +37,20 @@
 // reference is what the old servers did recently, by route.
 type reference struct {
 	routes map[azuretiller.RouteID]*routeReference
-	// longest is the longest duration of an attempt on an old server.
-	longest time.Duration
-	shed    tally
+	// longest and longestBefore are the longest durations of attempts on old servers in this window and in the one before.
+	longest, longestBefore time.Duration
+	windowEnd              time.Time
+	shed                   tally
 }
 
 type routeReference struct {
-	durations []time.Duration
-	next      int
+	durations durations
 	// threshold is the duration from which a response is slow, or 0 if too few are known.
 	threshold time.Duration
-	// failureRate and slowShare are those of healthy old servers.
-	failureRate, slowShare float64
-	servers                []*serverTally
-	byID                   map[azuretiller.InstanceID]*serverTally
+	// failureRate is that of healthy old servers.
+	failureRate float64
+	servers     []*serverTally
+	byID        map[azuretiller.InstanceID]*serverTally
 }
 
 type serverTally struct {
@@ -64,14 +60,14 @@
 
 // tally holds counts that decay.
 type tally struct {
-	at                  time.Time
-	count, failed, slow float64
+	at            time.Time
+	count, failed float64
 }
 
 func (t *tally) decay(now time.Time, memory time.Duration) {
 	if elapsed := now.Sub(t.at); elapsed > 0 {
 		factor := math.Exp(-elapsed.Seconds() / memory.Seconds())
-		t.count, t.failed, t.slow = t.count*factor, t.failed*factor, t.slow*factor
+		t.count, t.failed = t.count*factor, t.failed*factor
 		t.at = now
 	}
 }
@@ -83,7 +79,7 @@
 func (r *reference) route(id azuretiller.RouteID) *routeReference {
 	route := r.routes[id]
 	if route == nil {
-		route = &routeReference{failureRate: priorFailureRate, slowShare: priorSlowShare, byID: map[azuretiller.InstanceID]*serverTally{}}
+		route = &routeReference{failureRate: priorFailureRate, byID: map[azuretiller.InstanceID]*serverTally{}}
 		r.routes[id] = route
 	}
 	return route
@@ -91,6 +87,10 @@
 
 // observe records the result of an attempt on an old server.
 func (r *reference) observe(now time.Time, o Outcome) {
+	if now.After(r.windowEnd) {
+		r.longest, r.longestBefore = 0, r.longest
+		r.windowEnd = now.Add(drainWindow)
+	}
 	r.longest = max(r.longest, o.Took)
 	kind := r.classify(o)
 	if kind == shedResponse || kind.evidence() {
@@ -112,19 +112,10 @@
 	}
 	server.decay(now, referenceMemory)
 	server.count++
-	switch kind {
-	case failedResponse:
+	if kind == failedResponse {
 		server.failed++
-	case slowResponse:
-		server.slow++
-	}
-	if o.Result == message.Succeeded {
-		if len(route.durations) < keptDurations {
-			route.durations = append(route.durations, o.Took)
-		} else {
-			route.durations[route.next] = o.Took
-			route.next = (route.next + 1) % keptDurations
-		}
+	} else {
+		route.durations.add(o.Took)
 	}
 }
 
@@ -136,10 +127,9 @@
 }
 
 func (route *routeReference) refresh(now time.Time) {
-	if len(route.durations) >= minDurations {
-		sorted := slices.Clone(route.durations)
-		slices.Sort(sorted)
-		route.threshold = time.Duration(slowFactor*float64(sorted[len(sorted)/2])) + slowOffset
+	route.durations.refresh(now)
+	if route.durations.known() {
+		route.threshold = slowOffset + max(time.Duration(slowFactor*float64(route.durations.quantile(0.5))), route.durations.quantile(slowQuantile))
 	}
 	var counted []*serverTally
 	var total tally
@@ -151,9 +141,7 @@
 		counted = append(counted, s)
 		total.count += s.count
 		total.failed += s.failed
-		total.slow += s.slow
 	}
-	route.slowShare = (total.slow + priorSlowShare*priorResponses) / (total.count + priorResponses)
 	whole := (total.failed + priorFailureRate*priorResponses) / (total.count + priorResponses)
 	if whole >= wholeFailureRate {
 		route.failureRate = whole
@@ -196,6 +184,8 @@
 	goodResponse
 	failedResponse
 	slowResponse
+	// overdueResponse has not come although it takes too long.
+	overdueResponse
 	// shedResponse says that the server refused the request; all servers of a service may do so at the same time.
 	shedResponse
 )
@@ -203,7 +193,9 @@
 // evidence reports whether the response counts for or against the version.
 func (k responseKind) evidence() bool { return k == goodResponse || k.bad() }
 
-func (k responseKind) bad() bool { return k == failedResponse || k == slowResponse }
+func (k responseKind) bad() bool {
+	return k == failedResponse || k == slowResponse || k == overdueResponse
+}
 
 func (r *reference) classify(o Outcome) responseKind {
 	switch o.Result {
@@ -233,7 +225,7 @@
 	var sum time.Duration
 	count := 0
 	for _, route := range r.routes {
-		for _, d := range route.durations {
+		for _, d := range route.durations.kept {
 			sum += d
 			count++
 		}
--- a/pkg/rollout/sim_config_test.go
+++ b/pkg/rollout/sim_config_test.go
@@ -46,6 +46,7 @@
 
 	normalFailureRate                       float64
 	grayShare, grayFailureRate, grayPeriod  float64
+	grayManner                              message.Result
 	shedFrom, shedTo                        time.Duration
 	shedShare                               float64
 	burstFrom, burstTo                      time.Duration
@@ -132,6 +133,7 @@
 
 func (c *simConfig) configureEvents(r *rand.Rand) {
 	c.grayPeriod = 1 + 5*r.Float64()
+	c.grayManner = []message.Result{message.Failed, message.Reset, message.TimedOut}[r.IntN(3)]
 	if chance(r, 0.6) {
 		c.grayShare, c.grayFailureRate = 0.3*r.Float64(), 0.3+0.45*r.Float64()
 		if chance(r, 0.3) {
--- a/pkg/rollout/sim_request_test.go
+++ b/pkg/rollout/sim_request_test.go
@@ -105,7 +105,7 @@
 	case chance(sim.random, sim.shedShare) && sim.within(sim.shedFrom, sim.shedTo):
 		a.result, took = message.Shed, 2*time.Millisecond
 	case s.gray && chance(sim.random, sim.grayFailureRate):
-		a.result = message.Failed
+		a.result = sim.grayManner
 	case chance(sim.random, sim.normalFailureRate):
 		a.result = message.Failed
 	case sim.faulty(s, r.route):
--- a/pkg/rollout/sim_test.go
+++ b/pkg/rollout/sim_test.go
@@ -24,6 +24,8 @@
 	operatorBadLimit = 50
 )
 
+var debugLog func(string, ...any)
+
 func simStart() time.Time { return time.Unix(1_000_000, 0) }
 
 func simParams() Params {
@@ -175,6 +177,10 @@
 	if l.controller.Phase() == Cutover && sim.cutoverAt.IsZero() {
 		sim.cutoverAt = now
 	}
+	if debugLog != nil && sim.elapsed()%(500*time.Millisecond) < simTick {
+		st := l.controller.Status(now)
+		debugLog("%v %v odds %.2f used %d conf %d paced %.0f bound %.0f resp %d servers %d bad %d open %v left %v drain %v", sim.elapsed(), st.Phase, st.LogOdds, l.controller.exposure.used, l.controller.exposure.confirmed, l.controller.exposure.paced(now), l.controller.exposure.bound(), l.controller.evidence.responses, len(l.controller.evidence.servers), l.controller.bad, l.controller.focus.open, st.TimeLeft, l.controller.drainTime())
+	}
 	sim.schedule.After(simTick, func() { sim.tick(l) })
 }
 
--- a/pkg/rollout/verdict_test.go
+++ b/pkg/rollout/verdict_test.go
@@ -83,7 +83,9 @@
 }
 
 func (t *tallies) String() string {
-	share := func(part, whole int) string { return fmt.Sprintf("%d of %d (%.2f %%)", part, whole, 100*float64(part)/float64(max(whole, 1))) }
+	share := func(part, whole int) string {
+		return fmt.Sprintf("%d of %d (%.2f %%)", part, whole, 100*float64(part)/float64(max(whole, 1)))
+	}
 	var b strings.Builder
 	fmt.Fprintf(&b, "good versions: completed in time %s, wrongly reverted %s, completed late %d, undecided %d\n",
 		share(t.completedInTime, t.good), share(t.wronglyReverted, t.good), t.completedLate, t.goodUndecided)
