Adapt the smoothing of durations to their number, and spend the slack late

Cause: few durations of old servers gave a narrow reference, and most of the exposure was used before the time that decides.

--- a/pkg/rollout/decide.go
+++ b/pkg/rollout/decide.go
@@ -65,6 +65,7 @@
 		c.paused = paused
 		c.log("rollout exposure", map[string]any{"paused": paused, "bad": c.bad, "logOdds": c.logOdds})
 	}
+	c.exposure.suspicious = c.logOdds > suspicionLogOdds
 	slots := 0
 	for _, server := range s.Target {
 		slots += max(1, server.Slots)
--- a/pkg/rollout/durations.go
+++ b/pkg/rollout/durations.go
@@ -11,15 +11,24 @@
 	// keptDurations is the number of durations for each route that are kept.
 	keptDurations = 200
 	// minDurations is the number of durations below which durations say nothing.
-	minDurations = 5
+	minDurations = 10
 	// densityBins and densityBinWidth describe a histogram over the logarithm of the duration, from densityLow on.
 	densityBins     = 120
 	densityBinWidth = 0.1
 	densityLow      = time.Millisecond
-	// densityBandwidth is the standard deviation of the kernel by which the histogram is smoothed.
-	densityBandwidth = 0.25
+	// bandwidthFactor scales the standard deviation of the kernel by which the histogram is smoothed (the rule of Silverman), and
+	// minBandwidth is the smallest one.
+	bandwidthFactor = 1.06
+	minBandwidth    = 0.12
+	// priorDeviation is the assumed standard deviation of the logarithm of the duration, worth priorDeviationCount durations.
+	priorDeviation      = 0.5
+	priorDeviationCount = 4
 	// densityFloor is the part of the density that is even over all durations. It limits what a single duration can say.
-	densityFloor = 0.15
+	// It is larger while few durations are known, by fewDurations divided by their number.
+	densityFloor = 0.1
+	fewDurations = 2
+	// minExceeding is the smallest probability of a longer duration.
+	minExceeding = 0.02
 	// refreshInterval is the least time between two computations of the density.
 	refreshInterval = 200 * time.Millisecond
 )
@@ -51,20 +60,36 @@
 	d.refreshed = now
 	d.sorted = slices.Clone(d.kept)
 	slices.Sort(d.sorted)
+	count := float64(len(d.kept))
+	floor := densityFloor + fewDurations/count
 	for i := range d.density {
-		d.density[i] = densityFloor / (densityBins * densityBinWidth)
+		d.density[i] = floor / (densityBins * densityBinWidth)
 	}
-	norm := (1 - densityFloor) / (float64(len(d.kept)) * densityBandwidth * math.Sqrt(2*math.Pi))
-	reach := int(math.Ceil(3 * densityBandwidth / densityBinWidth))
+	bandwidth := d.bandwidth()
+	norm := (1 - floor) / (count * bandwidth * math.Sqrt(2*math.Pi))
+	reach := int(math.Ceil(3 * bandwidth / densityBinWidth))
 	for _, took := range d.kept {
 		position := binPosition(took)
 		for i := max(0, int(position)-reach); i <= min(densityBins-1, int(position)+reach+1); i++ {
-			distance := (float64(i) - position) * densityBinWidth / densityBandwidth
+			distance := (float64(i) - position) * densityBinWidth / bandwidth
 			d.density[i] += norm * math.Exp(-distance*distance/2)
 		}
 	}
 }
 
+// bandwidth returns the standard deviation of the kernel.
+func (d *durations) bandwidth() float64 {
+	sum, squares := 0.0, 0.0
+	for _, took := range d.kept {
+		x := binPosition(took) * densityBinWidth
+		sum += x
+		squares += x * x
+	}
+	count := float64(len(d.kept))
+	variance := (squares - sum*sum/count + priorDeviationCount*priorDeviation*priorDeviation) / (count + priorDeviationCount)
+	return max(minBandwidth, bandwidthFactor*math.Sqrt(variance)*math.Pow(count, -0.2))
+}
+
 func binPosition(took time.Duration) float64 {
 	return math.Log(float64(max(took, densityLow))/float64(densityLow)) / densityBinWidth
 }
@@ -83,7 +108,7 @@
 // exceeds returns the share of durations that are longer, which is never quite zero.
 func (d *durations) exceeds(took time.Duration) float64 {
 	shorter := sort.Search(len(d.sorted), func(i int) bool { return d.sorted[i] > took })
-	return (float64(len(d.sorted)-shorter) + 0.5) / float64(len(d.sorted)+1)
+	return max(minExceeding, (float64(len(d.sorted)-shorter)+0.5)/float64(len(d.sorted)+1))
 }
 
 // quantile returns the duration that is longer than the given share of the durations.
--- a/pkg/rollout/exposure.go
+++ b/pkg/rollout/exposure.go
@@ -16,6 +16,8 @@
 	countedSince      time.Time
 	// successor means that a former leader reserved attempts.
 	successor bool
+	// suspicious means that more evidence is needed soon.
+	suspicious bool
 	// slots is the mean number of slots of a target server.
 	slots int
 	// confirmed is the stored high-water mark, and attempted the largest one that may have been stored.
@@ -32,7 +34,10 @@
 // paced returns the part of the bound that the trial may use up to now.
 func (e *exposure) paced(now time.Time) float64 {
 	elapsed := now.Sub(e.started).Seconds() / max(e.cutoverAt.Sub(e.started).Seconds(), 1)
-	slackPart := initialSlack + (1-initialSlack)*min(1, max(0, elapsed))
+	if e.suspicious {
+		elapsed += suspicionAdvance
+	}
+	slackPart := initialSlack + (1-initialSlack)*math.Pow(min(1, max(0, elapsed)), slackExponent)
 	if e.successor {
 		return exposureMargin * (successorRequestShare*e.params.ExposeShare*float64(e.requests) + successorSlackShare*e.params.ExposeSlack)
 	}
@@ -70,7 +75,7 @@
 	if e.confirmed-e.used >= visit || e.paced(now)+float64(visit) <= float64(e.confirmed) {
 		return 0, false
 	}
-	block := max(minBlock, visit, int(math.Ceil(blockShare*e.expected(now))))
-	mark := max(e.attempted, min(max(e.confirmed, e.used)+block, int(e.bound())))
+	block := max(minBlock, visit+1, int(math.Ceil(blockShare*e.expected(now))))
+	mark := max(e.attempted, min(e.used+block, int(e.bound())))
 	return mark, mark > e.confirmed
 }
--- a/pkg/rollout/params.go
+++ b/pkg/rollout/params.go
@@ -5,7 +5,7 @@
 const (
 	// exposureMargin is the part of the bound that is used. The rest covers requests that were counted by this leader but not by
 	// the operator, and attempts that were counted by the operator only.
-	exposureMargin = 0.9
+	exposureMargin = 0.95
 	// trialSlackShare and trialRequestShare are the parts of ExposeSlack and of ExposeShare that may be used before the cutover. The
 	// rest is left for the time between the cutover and a verdict on a version that turns bad after it.
 	trialSlackShare   = 0.95
@@ -17,6 +17,11 @@
 	// initialSlack is the part of the trial's slack that may be used at once. The rest becomes available evenly until the cutover,
 	// so that a version that turns bad later is noticed.
 	initialSlack = 0.15
+	// slackExponent delays the use of the slack, as the last responses before the cutover decide, and suspicionAdvance is the part
+	// of the trial by which it is used earlier while the log odds are above suspicionLogOdds.
+	slackExponent    = 1.4
+	suspicionAdvance = 0.2
+	suspicionLogOdds = -1
 	// blockShare is the size of a block as a share of the expected exposure, and minBlock the smallest block. A new leader loses the
 	// unused part of the last block, and each block costs a write.
 	blockShare = 0.12
@@ -52,7 +57,7 @@
 	// maxStoredLogOdds limits what a new leader takes over from the log odds of its predecessor.
 	maxStoredLogOdds = 4
 	// trustedStoredLogOdds are the log odds of the predecessor with which a new leader may decide without responses of its own.
-	trustedStoredLogOdds = -3
+	trustedStoredLogOdds = -1.5
 
 	// badCountLimit is the number of bad responses after which Params.Rollback is counted. The operator counts from the 50th.
 	badCountLimit = 45
