Judge the attempts of a server in the order in which they were sent

Cause: failures of a version that hangs come late and together, which looked like servers that turn gray after some good responses.

--- a/pkg/rollout/controller.go
+++ b/pkg/rollout/controller.go
@@ -140,28 +140,32 @@
 		c.reference.observe(now, o)
 		return
 	}
-	if counted := c.inFlight.remove(o.Route, o.Server, now.Add(-o.Took)); !counted {
-		c.judge(now, o)
+	result := attempt{route: o.Route, sent: now.Add(-o.Took), took: o.Took, kind: c.reference.classify(o), judged: true, reported: true}
+	known, overdue := c.inFlight.report(o.Server, result)
+	if !overdue && result.kind.bad() {
+		c.countBad(now, o.Server)
+	}
+	if !known {
+		// A former leader placed the attempt.
+		c.weigh(c.evidence)(o.Server, result)
 	}
 }
 
-// judge takes a response of a target server into account.
-func (c *Controller) judge(now time.Time, o Outcome) {
-	c.judgeAs(now, o, c.reference.classify(o))
+func (c *Controller) countBad(now time.Time, server azuretiller.InstanceID) {
+	c.bad++
+	c.focus.countBad(server)
+	if c.bad >= badCountLimit && c.badSince.IsZero() {
+		c.badSince = now
+	}
 }
 
-func (c *Controller) judgeAs(now time.Time, o Outcome, kind responseKind) {
-	if kind.bad() {
-		c.bad++
-		c.focus.countBad(o.Server)
-		if c.bad >= badCountLimit && c.badSince.IsZero() {
-			c.badSince = now
+// weigh returns a function that takes a judged attempt into account.
+func (c *Controller) weigh(e *evidence) func(azuretiller.InstanceID, attempt) {
+	return func(server azuretiller.InstanceID, a attempt) {
+		if a.kind.evidence() {
+			e.observe(server, a, c.reference.route(a.route))
 		}
 	}
-	if !kind.evidence() {
-		return
-	}
-	c.evidence.observe(now, o, kind, c.reference.route(o.Route))
 }
 
 // Phase returns the current phase. It is Cutover only after the store confirmed the cutover, and Completed only after it
@@ -180,13 +184,13 @@
 	}
 }
 
-// overdue observes the attempts that run for very long.
-func (c *Controller) overdue(now time.Time) {
-	limit := func(route azuretiller.RouteID) time.Duration {
-		return max(overdueAfter, time.Duration(overdueFactor*float64(c.reference.threshold(route))))
-	}
-	c.inFlight.overdue(now, limit, func(server azuretiller.InstanceID, route azuretiller.RouteID) bool {
-		c.judgeAs(now, Outcome{Route: route, Server: server, OnTarget: true, Took: limit(route)}, overdueResponse)
-		return true
-	})
+// judge takes the attempts into account that have a result or run for very long.
+func (c *Controller) judge(now time.Time) {
+	limit := func(route azuretiller.RouteID) time.Duration { return max(overdueAfter, c.overdueLimit(route)) }
+	c.inFlight.judgeOverdue(now, limit, func(server azuretiller.InstanceID) { c.countBad(now, server) })
+	c.inFlight.take(c.weigh(c.evidence))
+}
+
+func (c *Controller) overdueLimit(route azuretiller.RouteID) time.Duration {
+	return time.Duration(overdueFactor * float64(c.reference.threshold(route)))
 }
--- a/pkg/rollout/decide.go
+++ b/pkg/rollout/decide.go
@@ -39,8 +39,8 @@
 	if len(s.Old) > 0 && c.phase == Trial {
 		c.reference.refresh(now)
 	}
-	c.overdue(now)
 	c.evidence.advance(now)
+	c.judge(now)
 	c.logOdds = c.evidence.logOdds()
 	c.exposure.cutoverAt = c.cutoverAt()
 }
@@ -140,14 +140,7 @@
 		return false
 	}
 	late := c.evidence.clone()
-	limit := func(route azuretiller.RouteID) time.Duration {
-		return time.Duration(overdueFactor * float64(c.reference.threshold(route)))
-	}
-	c.inFlight.overdue(now, limit, func(server azuretiller.InstanceID, id azuretiller.RouteID) bool {
-		o := Outcome{Route: id, Server: server, OnTarget: true, Took: limit(id)}
-		late.observe(now, o, overdueResponse, c.reference.route(id))
-		return false
-	})
+	c.inFlight.outstanding(now, c.overdueLimit, c.weigh(late))
 	return late.logOdds() <= threshold
 }
 
@@ -198,7 +191,7 @@
 // snapshot returns the progress to store with a high-water mark of the exposure. Attempts without a result and those that are
 // reserved count as bad, since a successor does not learn their results.
 func (c *Controller) snapshot(now time.Time, mark int) azuretiller.RolloutProgress {
-	unknown := c.inFlight.count()
+	unknown := c.inFlight.running()
 	if c.phase == Trial {
 		unknown += max(0, mark-c.exposure.used)
 	}
--- a/pkg/rollout/evidence.go
+++ b/pkg/rollout/evidence.go
@@ -50,6 +50,8 @@
 // hypothesis is one way in which the version may be bad.
 type hypothesis struct {
 	fault, route int
+	// onset is the time from which the version is bad.
+	onset time.Time
 	// logPrior is the logarithm of its prior probability, given that the version is bad.
 	logPrior float64
 	// logRatio is the logarithm of the likelihood of the responses relative to that of a good version.
@@ -87,11 +89,12 @@
 		states: states(), faults: faults(), routes: map[azuretiller.RouteID]int{},
 		servers: map[azuretiller.InstanceID]*serverEvidence{}, started: now, nextOnset: now.Add(onsetInterval), prior: priorLogOdds,
 	}
-	e.addHypotheses(allRoutes, math.Log(initialOnset)+priorLogOdds)
+	e.addHypotheses(allRoutes, time.Time{}, math.Log(initialOnset)+priorLogOdds)
 	return e
 }
 
-func (e *evidence) addHypotheses(route int, logPrior float64) {
+// addHypotheses adds the hypotheses that the version is bad on a route from the onset on.
+func (e *evidence) addHypotheses(route int, onset time.Time, logPrior float64) {
 	if len(e.hypotheses) >= maxHypotheses {
 		return
 	}
@@ -101,18 +104,18 @@
 		logPrior += math.Log((1 - allRoutesWeight) / float64(len(e.routes)))
 	}
 	for i, f := range e.faults {
-		e.hypotheses = append(e.hypotheses, hypothesis{fault: i, route: route, logPrior: logPrior + math.Log(f.weight)})
+		e.hypotheses = append(e.hypotheses, hypothesis{fault: i, route: route, onset: onset, logPrior: logPrior + math.Log(f.weight)})
 	}
 }
 
 // advance adds the hypotheses that the version turns bad now.
 func (e *evidence) advance(now time.Time) {
 	for !now.Before(e.nextOnset) {
-		e.nextOnset = e.nextOnset.Add(onsetInterval)
-		e.addHypotheses(allRoutes, math.Log(laterOnset))
+		e.addHypotheses(allRoutes, e.nextOnset, math.Log(laterOnset))
 		for route := range len(e.routes) {
-			e.addHypotheses(route, math.Log(laterOnset))
+			e.addHypotheses(route, e.nextOnset, math.Log(laterOnset))
 		}
+		e.nextOnset = e.nextOnset.Add(onsetInterval)
 	}
 }
 
@@ -121,41 +124,42 @@
 	if !ok {
 		index = len(e.routes)
 		e.routes[id] = index
-		e.addHypotheses(index, math.Log(initialOnset)+e.prior)
+		e.addHypotheses(index, time.Time{}, math.Log(initialOnset)+e.prior)
 	}
 	return index
 }
 
-// observe takes a response of a target server into account, compared with what is normal for its route.
-func (e *evidence) observe(now time.Time, o Outcome, kind responseKind, normal *routeReference) {
-	e.advance(now)
-	route := e.route(o.Route)
-	s := e.servers[o.Server]
+// observe takes an attempt on a target server into account, compared with what is normal for its route. The attempts of a server
+// are passed in the order in which they were sent.
+func (e *evidence) observe(server azuretiller.InstanceID, a attempt, normal *routeReference) {
+	e.advance(a.sent)
+	route := e.route(a.route)
+	s := e.servers[server]
 	if s == nil {
-		s = &serverEvidence{at: now}
+		s = &serverEvidence{at: a.sent}
 		for i, state := range e.states {
 			s.good[i] = state.probability
 		}
-		e.servers[o.Server] = s
+		e.servers[server] = s
 	}
 	for len(s.byHypothesis) < len(e.hypotheses) {
 		s.byHypothesis = append(s.byHypothesis, s.good)
 	}
-	decay := math.Exp(-stateRate * max(0, now.Sub(s.at).Seconds()))
-	s.at = now
+	decay := math.Exp(-stateRate * max(0, a.sent.Sub(s.at).Seconds()))
+	s.at = a.sent
 	s.responses++
 	e.responses++
 
-	good := e.likelihoods(kind, o.Took, fault{slowFactor: 1}, normal)
+	good := e.likelihoods(a, fault{slowFactor: 1}, normal)
 	goodLikelihood := s.good.update(decay, &e.states, &good)
 	faulty := make([]stateVector, len(e.faults))
 	for i, f := range e.faults {
-		faulty[i] = e.likelihoods(kind, o.Took, f, normal)
+		faulty[i] = e.likelihoods(a, f, normal)
 	}
 	for i := range e.hypotheses {
 		h := &e.hypotheses[i]
 		likelihoods := &good
-		if h.route == allRoutes || h.route == route {
+		if (h.route == allRoutes || h.route == route) && !a.sent.Before(h.onset) {
 			likelihoods = &faulty[h.fault]
 		}
 		h.logRatio += math.Log(s.byHypothesis[i].update(decay, &e.states, likelihoods) / goodLikelihood)
@@ -164,13 +168,13 @@
 
 // likelihoods returns the probability of the response in each state of the server. For a successful response it is the density of
 // its duration.
-func (e *evidence) likelihoods(kind responseKind, took time.Duration, f fault, normal *routeReference) stateVector {
+func (e *evidence) likelihoods(a attempt, f fault, normal *routeReference) stateVector {
 	duration := func(factor float64) float64 {
 		if !normal.durations.known() {
 			return 1
 		}
-		scaled := time.Duration(float64(took) / factor)
-		if kind == overdueResponse {
+		scaled := time.Duration(float64(a.took) / factor)
+		if a.kind == overdueResponse {
 			return normal.durations.exceeds(scaled)
 		}
 		return normal.durations.densityAt(scaled)
@@ -184,7 +188,7 @@
 			succeeded += s.slowShare * (duration(s.slowFactor) - unchanged)
 		}
 		succeeded += f.slowShare * (faulty - succeeded)
-		switch kind {
+		switch a.kind {
 		case failedResponse:
 			v[i] = failed
 		case overdueResponse:
--- a/pkg/rollout/sim_test.go
+++ b/pkg/rollout/sim_test.go
@@ -183,6 +183,12 @@
 	}
 	if debugLog != nil && sim.elapsed()%(time.Second) < simTick {
 		best := 0
+		for id, rr := range l.controller.reference.routes {
+			debugLog("    %s failure %.3f threshold %v known %d", id, rr.failureRate, rr.threshold, len(rr.durations.kept))
+		}
+		for i := 0; i < 7; i++ {
+			debugLog("       fault %d %.1f", i, l.controller.evidence.hypotheses[i].logRatio)
+		}
 		hs := l.controller.evidence.hypotheses
 		for i, h := range hs {
 			if h.logPrior+h.logRatio > hs[best].logPrior+hs[best].logRatio {
