Learn from the old servers how many servers are gray

Cause: the largest share of gray servers was always assumed, so that evidence against a version counted for little where no server is gray.

--- a/pkg/rollout/controller.go
+++ b/pkg/rollout/controller.go
@@ -26,7 +26,7 @@
 	exposure  exposure
 	focus     *focus
 	reference *reference
-	evidence  *evidence
+	evidence  *weighedEvidence
 	inFlight  *inFlight
 	// bad counts the bad responses, including those that former leaders stored. badSince is when they reached badCountLimit.
 	bad      int
@@ -63,7 +63,7 @@
 	c := &Controller{
 		params: p, order: order, phase: Trial, started: started, deadline: started.Add(order.Duration),
 		focus: newFocus(), reference: newReference(), inFlight: newInFlight(),
-		evidence: newEvidence(now, min(maxStoredLogOdds, max(-maxStoredLogOdds, stored.LogOdds))),
+		evidence: newWeighedEvidence(now, min(maxStoredLogOdds, max(-maxStoredLogOdds, stored.LogOdds))),
 		bad:      stored.Bad, state: stored.State, wantState: azuretiller.RolloutActive, cutover: stored.Cutover, wantCutover: stored.Cutover,
 		logOdds: stored.LogOdds, storedLogOdds: stored.LogOdds,
 	}
@@ -138,6 +138,9 @@
 	}
 	if !o.OnTarget {
 		c.reference.observe(now, o)
+		if kind := c.reference.classify(o); kind.evidence() {
+			c.evidence.observeOld(now, o.Server, kind == failedResponse)
+		}
 		return
 	}
 	result := attempt{route: o.Route, sent: now.Add(-o.Took), took: o.Took, kind: c.reference.classify(o), judged: true, reported: true}
@@ -160,7 +163,7 @@
 }
 
 // weigh returns a function that takes a judged attempt into account.
-func (c *Controller) weigh(e *evidence) func(azuretiller.InstanceID, attempt) {
+func (c *Controller) weigh(e *weighedEvidence) func(azuretiller.InstanceID, attempt) {
 	return func(server azuretiller.InstanceID, a attempt) {
 		if a.kind.evidence() {
 			e.observe(server, a, c.reference.route(a.route))
--- a/pkg/rollout/decide.go
+++ b/pkg/rollout/decide.go
@@ -36,6 +36,7 @@
 		old[server.ID] = true
 	}
 	c.reference.removeServers(old)
+	c.evidence.removeOld(old)
 	if len(s.Old) > 0 && c.phase == Trial {
 		c.reference.refresh(now)
 	}
@@ -133,14 +134,15 @@
 	}
 }
 
-// good reports whether there is enough evidence that the version is good. Attempts that already take too long count as overdue.
+// good reports whether there is enough evidence that the version is good. The time that attempts already
+// take is taken into account, since the responses of a version that is slow or hangs come late.
 func (c *Controller) good(now time.Time, s Servers, threshold float64) bool {
 	sufficient := c.evidence.sufficient(c.focus.count()) || c.storedLogOdds <= trustedStoredLogOdds
 	if c.logOdds > threshold || !sufficient || len(s.Target) == 0 {
 		return false
 	}
 	late := c.evidence.clone()
-	c.inFlight.outstanding(now, c.overdueLimit, c.weigh(late))
+	c.inFlight.outstanding(now, c.weigh(late))
 	return late.logOdds() <= threshold
 }
 
@@ -156,7 +158,7 @@
 
 func (c *Controller) logVerdict(name string) {
 	fields := map[string]any{
-		"logOdds": c.logOdds, "responses": c.evidence.responses, "servers": len(c.evidence.servers), "bad": c.bad,
+		"logOdds": c.logOdds, "responses": c.evidence.responses(), "servers": c.evidence.servers(), "bad": c.bad,
 		"exposed": c.exposure.used, "requests": c.exposure.requests,
 	}
 	if c.reason != "" {
--- a/pkg/rollout/evidence.go
+++ b/pkg/rollout/evidence.go
@@ -31,9 +31,9 @@
 // times longer.
 type serverState struct{ probability, failureRate, slowShare, slowFactor float64 }
 
-// states returns the states with their probabilities. They assume the largest share of gray servers that occurs (3 in 10).
-func states() [serverStates]serverState {
-	return [serverStates]serverState{{0.7, 0, 0, 1}, {0.12, 0.35, 0, 1}, {0.15, 0.75, 0, 1}, {0.03, 0, 0.75, 4}}
+// states returns the states with their probabilities, given the share of gray servers.
+func states(grayShare float64) [serverStates]serverState {
+	return [serverStates]serverState{{1 - grayShare, 0, 0, 1}, {0.4 * grayShare, 0.35, 0, 1}, {0.5 * grayShare, 0.75, 0, 1}, {0.1 * grayShare, 0, 0.75, 4}}
 }
 
 // fault is a way in which a version may be bad on all of its servers.
@@ -67,7 +67,6 @@
 	// byHypothesis are the states under the hypotheses with the same index. Hypotheses that are younger than the newest response have
 	// the state of a good version and are missing.
 	byHypothesis []stateVector
-	responses    int
 }
 
 // evidence weighs the hypotheses that the target version is bad against the hypothesis that only single servers are gray.
@@ -81,12 +80,14 @@
 	nextOnset  time.Time
 	prior      float64
 	responses  int
+	// logGood is the log likelihood of the responses if the version is good.
+	logGood float64
 }
 
 // newEvidence returns evidence without responses. The prior log odds are those of a version that is bad from the start.
-func newEvidence(now time.Time, priorLogOdds float64) *evidence {
+func newEvidence(now time.Time, priorLogOdds float64, states [serverStates]serverState) *evidence {
 	e := &evidence{
-		states: states(), faults: faults(), routes: map[azuretiller.RouteID]int{},
+		states: states, faults: faults(), routes: map[azuretiller.RouteID]int{},
 		servers: map[azuretiller.InstanceID]*serverEvidence{}, started: now, nextOnset: now.Add(onsetInterval), prior: priorLogOdds,
 	}
 	e.addHypotheses(allRoutes, time.Time{}, math.Log(initialOnset)+priorLogOdds)
@@ -136,23 +137,19 @@
 	route := e.route(a.route)
 	s := e.servers[server]
 	if s == nil {
-		s = &serverEvidence{at: a.sent}
-		for i, state := range e.states {
-			s.good[i] = state.probability
-		}
+		s = e.newServer(a.sent)
 		e.servers[server] = s
 	}
 	for len(s.byHypothesis) < len(e.hypotheses) {
 		s.byHypothesis = append(s.byHypothesis, s.good)
 	}
-	decay := math.Exp(-stateRate * max(0, a.sent.Sub(s.at).Seconds()))
-	s.at = a.sent
-	s.responses++
+	decay := s.elapse(a.sent)
 	e.responses++
 
 	good := e.likelihoods(a, fault{slowFactor: 1}, normal)
 	goodLikelihood := s.good.update(decay, &e.states, &good)
 	faulty := make([]stateVector, len(e.faults))
+	e.logGood += math.Log(goodLikelihood)
 	for i, f := range e.faults {
 		faulty[i] = e.likelihoods(a, f, normal)
 	}
@@ -166,6 +163,21 @@
 	}
 }
 
+func (e *evidence) newServer(now time.Time) *serverEvidence {
+	s := &serverEvidence{at: now}
+	for i, state := range e.states {
+		s.good[i] = state.probability
+	}
+	return s
+}
+
+// elapse moves the time of the server to now and returns the factor by which the knowledge of its state decays.
+func (s *serverEvidence) elapse(now time.Time) float64 {
+	elapsed := max(0, now.Sub(s.at).Seconds())
+	s.at = now
+	return math.Exp(-stateRate * elapsed)
+}
+
 // likelihoods returns the probability of the response in each state of the server. For a successful response it is the density of
 // its duration.
 func (e *evidence) likelihoods(a attempt, f fault, normal *routeReference) stateVector {
@@ -228,11 +240,6 @@
 	return largest + math.Log(sum)
 }
 
-// sufficient reports whether there are enough responses for a good verdict, at least in proportion to the servers.
-func (e *evidence) sufficient(servers int) bool {
-	return e.responses >= minResponses && len(e.servers) >= min(minServers, servers)
-}
-
 // clone returns a copy that changes independently.
 func (e *evidence) clone() *evidence {
 	c := *e
--- a/pkg/rollout/inflight.go
+++ b/pkg/rollout/inflight.go
@@ -90,19 +90,17 @@
 	}
 }
 
-// outstanding calls observe for the attempts that were not taken into account and are judged or run for longer than limit says.
-func (f *inFlight) outstanding(now time.Time, limit func(azuretiller.RouteID) time.Duration, observe func(azuretiller.InstanceID, attempt)) {
+// outstanding calls observe for the attempts that were not taken into account. Those that run count as overdue since now.
+func (f *inFlight) outstanding(now time.Time, observe func(azuretiller.InstanceID, attempt)) {
 	for _, id := range f.servers() {
 		for _, a := range f.attempts[id] {
 			if a.counted {
 				continue
 			}
-			if l := limit(a.route); !a.judged && now.Sub(a.sent) > l {
-				a.judged, a.kind, a.took = true, overdueResponse, l
-			}
-			if a.judged {
-				observe(id, a)
+			if !a.judged {
+				a.judged, a.kind, a.took = true, overdueResponse, now.Sub(a.sent)
 			}
+			observe(id, a)
 		}
 	}
 }
--- a/pkg/rollout/sim_test.go
+++ b/pkg/rollout/sim_test.go
@@ -179,23 +179,17 @@
 	}
 	if debugLog != nil && sim.elapsed()%(500*time.Millisecond) < simTick {
 		st := l.controller.Status(now)
-		debugLog("%v %v odds %.2f used %d conf %d paced %.0f bound %.0f resp %d servers %d bad %d open %v left %v drain %v", sim.elapsed(), st.Phase, st.LogOdds, l.controller.exposure.used, l.controller.exposure.confirmed, l.controller.exposure.paced(now), l.controller.exposure.bound(), l.controller.evidence.responses, len(l.controller.evidence.servers), l.controller.bad, l.controller.focus.open, st.TimeLeft, l.controller.drainTime())
+		debugLog("%v %v odds %.2f used %d conf %d paced %.0f bound %.0f resp %d servers %d bad %d open %v left %v drain %v", sim.elapsed(), st.Phase, st.LogOdds, l.controller.exposure.used, l.controller.exposure.confirmed, l.controller.exposure.paced(now), l.controller.exposure.bound(), l.controller.evidence.responses(), l.controller.evidence.servers(), l.controller.bad, l.controller.focus.open, st.TimeLeft, l.controller.drainTime())
 	}
 	if debugLog != nil && sim.elapsed()%(time.Second) < simTick {
 		best := 0
-		for id, rr := range l.controller.reference.routes {
-			debugLog("    %s failure %.3f threshold %v known %d", id, rr.failureRate, rr.threshold, len(rr.durations.kept))
-		}
-		for i := 0; i < 7; i++ {
-			debugLog("       fault %d %.1f", i, l.controller.evidence.hypotheses[i].logRatio)
-		}
-		hs := l.controller.evidence.hypotheses
+		hs := l.controller.evidence.shares[1].hypotheses
 		for i, h := range hs {
 			if h.logPrior+h.logRatio > hs[best].logPrior+hs[best].logRatio {
 				best = i
 			}
 		}
-		debugLog("    best %d of %d fault %v route %d prior %.1f ratio %.1f", best, len(hs), l.controller.evidence.faults[hs[best].fault], hs[best].route, hs[best].logPrior, hs[best].logRatio)
+		debugLog("    best %d of %d fault %v route %d prior %.1f ratio %.1f", best, len(hs), l.controller.evidence.shares[1].faults[hs[best].fault], hs[best].route, hs[best].logPrior, hs[best].logRatio)
 	}
 	sim.schedule.After(simTick, func() { sim.tick(l) })
 }
