--- a/pkg/rollout/controller.go
+++ b/pkg/rollout/controller.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/azuretiller/azuretiller"
-	"github.com/azuretiller/azuretiller/pkg/message"
 )
 
 // Params are the bounds of the deployment.
@@ -27,7 +26,7 @@
 	exposure  exposure
 	focus     *focus
 	reference *reference
-	evidence  *evidence
+	evidence  *weighedEvidence
 	inFlight  *inFlight
 	// bad counts the bad responses, including those that former leaders stored. badSince is when they reached badCountLimit.
 	bad      int
@@ -43,7 +42,11 @@
 	logs    []LogLine
 	// logOdds is the log odds that the version is bad, as of the last Tick.
 	logOdds float64
-	paused  bool
+	// storedLogOdds is what the former leader stored.
+	storedLogOdds float64
+	paused        bool
+	// cutoverDue is the time of the cutover, once it has come.
+	cutoverDue time.Time
 }
 
 // New returns the controller of a rollout. If the stored progress belongs to another target version, or is empty, the rollout
@@ -60,13 +63,13 @@
 	c := &Controller{
 		params: p, order: order, phase: Trial, started: started, deadline: started.Add(order.Duration),
 		focus: newFocus(), reference: newReference(), inFlight: newInFlight(),
-		evidence: newEvidence(now, min(maxStoredLogOdds, max(-maxStoredLogOdds, stored.LogOdds))),
+		evidence: newWeighedEvidence(now, min(maxStoredLogOdds, max(-maxStoredLogOdds, stored.LogOdds))),
 		bad:      stored.Bad, state: stored.State, wantState: azuretiller.RolloutActive, cutover: stored.Cutover, wantCutover: stored.Cutover,
-		logOdds: stored.LogOdds,
+		logOdds: stored.LogOdds, storedLogOdds: stored.LogOdds,
 	}
 	c.exposure = exposure{
 		params: p, started: started, requests: stored.Requests, countedSince: now,
-		confirmed: stored.Reserved, attempted: stored.Reserved, used: stored.Reserved,
+		successor: stored.Reserved > 0, confirmed: stored.Reserved, attempted: stored.Reserved, used: stored.Reserved,
 	}
 	c.exposure.cutoverAt = c.cutoverAt()
 	if c.bad >= badCountLimit {
@@ -124,7 +127,7 @@
 	}
 	available := c.exposure.available(now)
 	return available > 0 && !c.reference.shedding(now) &&
-		c.focus.allows(route, server, available, c.exposure.visitSize(now), len(c.reference.routes))
+		c.focus.allows(route, server, available, c.exposure.visitSize(), len(c.reference.routes))
 }
 
 // Observe records the result of an attempt on a server of either version. Each attempt that Expose admitted is observed once,
@@ -135,27 +138,37 @@
 	}
 	if !o.OnTarget {
 		c.reference.observe(now, o)
+		if kind := c.reference.classify(o); kind.evidence() {
+			c.evidence.observeOld(now, o.Server, kind == failedResponse)
+		}
 		return
 	}
-	if counted := c.inFlight.remove(o.Route, o.Server, now.Add(-o.Took)); !counted {
-		c.judge(now, o)
+	result := attempt{route: o.Route, sent: now.Add(-o.Took), took: o.Took, kind: c.reference.classify(o), judged: true, reported: true}
+	known, overdue := c.inFlight.report(o.Server, result)
+	if !overdue && result.kind.bad() {
+		c.countBad(now, o.Server)
+	}
+	if !known {
+		// A former leader placed the attempt.
+		c.weigh(c.evidence)(o.Server, result)
 	}
 }
 
-// judge takes a response of a target server into account.
-func (c *Controller) judge(now time.Time, o Outcome) {
-	kind := c.reference.classify(o)
-	if kind.bad() {
-		c.bad++
-		if c.bad >= badCountLimit && c.badSince.IsZero() {
-			c.badSince = now
-		}
+func (c *Controller) countBad(now time.Time, server azuretiller.InstanceID) {
+	c.bad++
+	c.focus.countBad(server)
+	if c.bad >= badCountLimit && c.badSince.IsZero() {
+		c.badSince = now
 	}
-	if !kind.evidence() {
-		return
+}
+
+// weigh returns a function that takes a judged attempt into account.
+func (c *Controller) weigh(e *weighedEvidence) func(azuretiller.InstanceID, attempt) {
+	return func(server azuretiller.InstanceID, a attempt) {
+		if a.kind.evidence() {
+			e.observe(server, a, c.reference.route(a.route))
+		}
 	}
-	route := c.reference.route(o.Route)
-	c.evidence.observe(now, o, kind, route.failureRate, route.slowShare)
 }
 
 // Phase returns the current phase. It is Cutover only after the store confirmed the cutover, and Completed only after it
@@ -174,13 +187,13 @@
 	}
 }
 
-// overdue observes as slow the attempts that run for very long.
-func (c *Controller) overdue(now time.Time) {
-	limit := func(route azuretiller.RouteID) time.Duration {
-		return max(overdueAfter, time.Duration(overdueFactor*float64(c.reference.threshold(route))))
-	}
-	c.inFlight.overdue(now, limit, func(server azuretiller.InstanceID, route azuretiller.RouteID) bool {
-		c.judge(now, Outcome{Route: route, Server: server, OnTarget: true, Result: message.TimedOut, Took: limit(route)})
-		return true
-	})
+// judge takes the attempts into account that have a result or run for very long.
+func (c *Controller) judge(now time.Time) {
+	limit := func(route azuretiller.RouteID) time.Duration { return max(overdueAfter, c.overdueLimit(route)) }
+	c.inFlight.judgeOverdue(now, limit, func(server azuretiller.InstanceID) { c.countBad(now, server) })
+	c.inFlight.take(c.weigh(c.evidence))
+}
+
+func (c *Controller) overdueLimit(route azuretiller.RouteID) time.Duration {
+	return time.Duration(overdueFactor * float64(c.reference.threshold(route)))
 }
--- a/pkg/rollout/evidence.go
+++ b/pkg/rollout/evidence.go
@@ -17,35 +17,41 @@
 	// onsetInterval is the interval of the times at which a version may turn bad.
 	onsetInterval = time.Second
 	// laterOnset is the prior probability that a version turns bad in a given interval after the start of the trial.
-	laterOnset = 0.04
+	laterOnset = 0.03
 	// initialOnset is the prior probability that a version is bad from the start.
-	initialOnset = 0.5
+	initialOnset = 0.7
 	// allRoutes is the route of hypotheses that concern all routes, and allRoutesWeight their prior probability.
 	allRoutes       = -1
-	allRoutesWeight = 0.65
+	allRoutesWeight = 0.7
 	// maxHypotheses limits the memory and the time of an observation.
 	maxHypotheses = 700
 )
 
-// serverState describes what a server does on its own, whatever its version.
-type serverState struct{ probability, failureRate, slowShare float64 }
+// serverState describes what a server does on its own, whatever its version: a share of its responses fails, or takes slowFactor
+// times longer.
+type serverState struct{ probability, failureRate, slowShare, slowFactor float64 }
 
-// states returns the states with their probabilities. They assume the largest share of gray servers that occurs (3 in 10).
-func states() [serverStates]serverState {
-	return [serverStates]serverState{{0.7, 0, 0}, {0.12, 0.35, 0}, {0.14, 0.75, 0}, {0.04, 0, 0.6}}
+// states returns the states with their probabilities, given the share of gray servers.
+func states(grayShare float64) [serverStates]serverState {
+	return [serverStates]serverState{{1 - grayShare, 0, 0, 1}, {0.4 * grayShare, 0.35, 0, 1}, {0.5 * grayShare, 0.75, 0, 1}, {0.1 * grayShare, 0, 0.75, 4}}
 }
 
 // fault is a way in which a version may be bad on all of its servers.
-type fault struct{ weight, failureRate, slowShare float64 }
+type fault struct{ weight, failureRate, slowShare, slowFactor float64 }
 
 // faults returns the kinds of bad versions that are considered.
 func faults() []fault {
-	return []fault{{0.1, 0.15, 0}, {0.2, 0.3, 0}, {0.22, 0.6, 0}, {0.2, 0.95, 0}, {0.13, 0, 0.6}, {0.15, 0, 0.95}}
+	return []fault{
+		{0.05, 0.15, 0, 1}, {0.2, 0.3, 0, 1}, {0.22, 0.6, 0, 1}, {0.2, 0.95, 0, 1},
+		{0.13, 0, 0.97, 3}, {0.13, 0, 0.97, 5}, {0.07, 0, 0.5, 4},
+	}
 }
 
 // hypothesis is one way in which the version may be bad.
 type hypothesis struct {
 	fault, route int
+	// onset is the time from which the version is bad.
+	onset time.Time
 	// logPrior is the logarithm of its prior probability, given that the version is bad.
 	logPrior float64
 	// logRatio is the logarithm of the likelihood of the responses relative to that of a good version.
@@ -61,7 +67,6 @@
 	// byHypothesis are the states under the hypotheses with the same index. Hypotheses that are younger than the newest response have
 	// the state of a good version and are missing.
 	byHypothesis []stateVector
-	responses    int
 }
 
 // evidence weighs the hypotheses that the target version is bad against the hypothesis that only single servers are gray.
@@ -75,19 +80,22 @@
 	nextOnset  time.Time
 	prior      float64
 	responses  int
+	// logGood is the log likelihood of the responses if the version is good.
+	logGood float64
 }
 
 // newEvidence returns evidence without responses. The prior log odds are those of a version that is bad from the start.
-func newEvidence(now time.Time, priorLogOdds float64) *evidence {
+func newEvidence(now time.Time, priorLogOdds float64, states [serverStates]serverState) *evidence {
 	e := &evidence{
-		states: states(), faults: faults(), routes: map[azuretiller.RouteID]int{},
+		states: states, faults: faults(), routes: map[azuretiller.RouteID]int{},
 		servers: map[azuretiller.InstanceID]*serverEvidence{}, started: now, nextOnset: now.Add(onsetInterval), prior: priorLogOdds,
 	}
-	e.addHypotheses(allRoutes, math.Log(initialOnset)+priorLogOdds)
+	e.addHypotheses(allRoutes, time.Time{}, math.Log(initialOnset)+priorLogOdds)
 	return e
 }
 
-func (e *evidence) addHypotheses(route int, logPrior float64) {
+// addHypotheses adds the hypotheses that the version is bad on a route from the onset on.
+func (e *evidence) addHypotheses(route int, onset time.Time, logPrior float64) {
 	if len(e.hypotheses) >= maxHypotheses {
 		return
 	}
@@ -97,18 +105,18 @@
 		logPrior += math.Log((1 - allRoutesWeight) / float64(len(e.routes)))
 	}
 	for i, f := range e.faults {
-		e.hypotheses = append(e.hypotheses, hypothesis{fault: i, route: route, logPrior: logPrior + math.Log(f.weight)})
+		e.hypotheses = append(e.hypotheses, hypothesis{fault: i, route: route, onset: onset, logPrior: logPrior + math.Log(f.weight)})
 	}
 }
 
 // advance adds the hypotheses that the version turns bad now.
 func (e *evidence) advance(now time.Time) {
 	for !now.Before(e.nextOnset) {
-		e.nextOnset = e.nextOnset.Add(onsetInterval)
-		e.addHypotheses(allRoutes, math.Log(laterOnset))
+		e.addHypotheses(allRoutes, e.nextOnset, math.Log(laterOnset))
 		for route := range len(e.routes) {
-			e.addHypotheses(route, math.Log(laterOnset))
+			e.addHypotheses(route, e.nextOnset, math.Log(laterOnset))
 		}
+		e.nextOnset = e.nextOnset.Add(onsetInterval)
 	}
 }
 
@@ -117,60 +125,88 @@
 	if !ok {
 		index = len(e.routes)
 		e.routes[id] = index
-		e.addHypotheses(index, math.Log(initialOnset)+e.prior)
+		e.addHypotheses(index, time.Time{}, math.Log(initialOnset)+e.prior)
 	}
 	return index
 }
 
-// observe takes a response of a target server into account, compared with those of healthy old servers for its route.
-func (e *evidence) observe(now time.Time, o Outcome, kind responseKind, failureRate, slowShare float64) {
-	e.advance(now)
-	route := e.route(o.Route)
-	s := e.servers[o.Server]
+// observe takes an attempt on a target server into account, compared with what is normal for its route. The attempts of a server
+// are passed in the order in which they were sent.
+func (e *evidence) observe(server azuretiller.InstanceID, a attempt, normal *routeReference) {
+	e.advance(a.sent)
+	route := e.route(a.route)
+	s := e.servers[server]
 	if s == nil {
-		s = &serverEvidence{at: now}
-		for i, state := range e.states {
-			s.good[i] = state.probability
-		}
-		e.servers[o.Server] = s
+		s = e.newServer(a.sent)
+		e.servers[server] = s
 	}
 	for len(s.byHypothesis) < len(e.hypotheses) {
 		s.byHypothesis = append(s.byHypothesis, s.good)
 	}
-	decay := math.Exp(-stateRate * max(0, now.Sub(s.at).Seconds()))
-	s.at = now
-	s.responses++
+	decay := s.elapse(a.sent)
 	e.responses++
 
-	normal := e.likelihoods(kind, fault{}, failureRate, slowShare)
-	goodLikelihood := s.good.update(decay, &e.states, &normal)
+	good := e.likelihoods(a, fault{slowFactor: 1}, normal)
+	goodLikelihood := s.good.update(decay, &e.states, &good)
 	faulty := make([]stateVector, len(e.faults))
+	e.logGood += math.Log(goodLikelihood)
 	for i, f := range e.faults {
-		faulty[i] = e.likelihoods(kind, f, failureRate, slowShare)
+		faulty[i] = e.likelihoods(a, f, normal)
 	}
 	for i := range e.hypotheses {
 		h := &e.hypotheses[i]
-		likelihoods := &normal
-		if h.route == allRoutes || h.route == route {
+		likelihoods := &good
+		if (h.route == allRoutes || h.route == route) && !a.sent.Before(h.onset) {
 			likelihoods = &faulty[h.fault]
 		}
 		h.logRatio += math.Log(s.byHypothesis[i].update(decay, &e.states, likelihoods) / goodLikelihood)
 	}
 }
 
-// likelihoods returns the probability of the kind of response in each state of the server.
-func (e *evidence) likelihoods(kind responseKind, f fault, failureRate, slowShare float64) stateVector {
+func (e *evidence) newServer(now time.Time) *serverEvidence {
+	s := &serverEvidence{at: now}
+	for i, state := range e.states {
+		s.good[i] = state.probability
+	}
+	return s
+}
+
+// elapse moves the time of the server to now and returns the factor by which the knowledge of its state decays.
+func (s *serverEvidence) elapse(now time.Time) float64 {
+	elapsed := max(0, now.Sub(s.at).Seconds())
+	s.at = now
+	return math.Exp(-stateRate * elapsed)
+}
+
+// likelihoods returns the probability of the response in each state of the server. For a successful response it is the density of
+// its duration.
+func (e *evidence) likelihoods(a attempt, f fault, normal *routeReference) stateVector {
+	duration := func(factor float64) float64 {
+		if !normal.durations.known() {
+			return 1
+		}
+		scaled := time.Duration(float64(a.took) / factor)
+		if a.kind == overdueResponse {
+			return normal.durations.exceeds(scaled)
+		}
+		return normal.durations.densityAt(scaled)
+	}
+	unchanged, faulty := duration(1), duration(f.slowFactor)
 	var v stateVector
 	for i, s := range e.states {
-		failed := 1 - (1-failureRate)*(1-s.failureRate)*(1-f.failureRate)
-		slow := (1 - failed) * (1 - (1-slowShare)*(1-s.slowShare)*(1-f.slowShare))
-		switch kind {
+		failed := 1 - (1-normal.failureRate)*(1-s.failureRate)*(1-f.failureRate)
+		succeeded := unchanged
+		if s.slowShare > 0 {
+			succeeded += s.slowShare * (duration(s.slowFactor) - unchanged)
+		}
+		succeeded += f.slowShare * (faulty - succeeded)
+		switch a.kind {
 		case failedResponse:
 			v[i] = failed
-		case slowResponse:
-			v[i] = slow
+		case overdueResponse:
+			v[i] = failed + (1-failed)*succeeded
 		default:
-			v[i] = 1 - failed - slow
+			v[i] = (1 - failed) * succeeded
 		}
 	}
 	return v
@@ -204,11 +240,6 @@
 	return largest + math.Log(sum)
 }
 
-// sufficient reports whether there are enough responses for a good verdict, at least in proportion to the servers.
-func (e *evidence) sufficient(servers int) bool {
-	return e.responses >= minResponses && len(e.servers) >= min(minServers, servers)
-}
-
 // clone returns a copy that changes independently.
 func (e *evidence) clone() *evidence {
 	c := *e
