--- a/pkg/leader/rollout_test.go
+++ b/pkg/leader/rollout_test.go
@@ -378,3 +378,43 @@
 	f.stepsUntil(azuretiller.RolloutReverted, 4*time.Second)
 	assert.Positive(t, f.placedDuring(time.Second)["v1"])
 }
+
+// TestSameTargetOrderedAgainBetweenLeaders guards against a new leader that takes the stored final state of an earlier order for that of a new
+// order for the same version.
+func TestSameTargetOrderedAgainBetweenLeaders(t *testing.T) {
+	f := newRolloutFleet(t)
+	f.addServers("v2")
+	f.order("v2", 10*time.Second)
+	f.steps(2 * time.Second)
+	f.orders = map[azuretiller.ServiceID]azuretiller.RecordedOrder{}
+	f.stepsUntil(azuretiller.RolloutReverted, time.Second)
+	f.order("v2", 10*time.Second)
+	f.lead(2)
+	f.stepsUntil(azuretiller.RolloutCompleted, 11*time.Second)
+	assert.Equal(t, []string{"s v2 active", "s v2 reverted", "s v2 active", "s v2 completed"}, f.store.history)
+}
+
+// TestTwoServicesAtOnce guards against rollouts of different services that are mixed up, or that keep each other from being stored.
+func TestTwoServicesAtOnce(t *testing.T) {
+	f := newRolloutFleet(t)
+	f.addServers("v2")
+	f.order("v2", 10*time.Second)
+	other := azuretiller.RecordedOrder{RolloutOrder: azuretiller.RolloutOrder{Service: "unknown", Target: "v7", Duration: 3 * time.Second}, At: azuretiller.Position{Offset: 9}}
+	f.orders["unknown"] = other
+	f.stepsUntil(azuretiller.RolloutCompleted, 11*time.Second)
+	assert.Equal(t, azuretiller.RolloutStatus{Target: "v7", State: azuretiller.RolloutReverted}, f.store.stored.Statuses["unknown"])
+	assert.Equal(t, azuretiller.RolloutCompleted, f.store.stored.Records["s"].Progress.State)
+}
+
+// TestOrderWhoseTimeHasPassed guards against a rollout that goes on after its time limit, since no leader was there to end it.
+func TestOrderWhoseTimeHasPassed(t *testing.T) {
+	f := newRolloutFleet(t)
+	f.addServers("v2")
+	f.order("v2", 5*time.Second)
+	f.steps(2 * time.Second)
+	f.now = f.now.Add(10 * time.Second)
+	f.lead(2)
+	f.placed = map[azuretiller.Version]int{}
+	f.stepsUntil(azuretiller.RolloutReverted, 2*time.Second)
+	assert.Zero(t, f.placed["v2"])
+}
