Keep the unused part of a block small, and correct the normal failure rate

Cause: leaving out the servers that fail most made the normal failure rate too low, and blocks at low rates lost exposure at a change of the leader.

--- a/pkg/rollout/exposure.go
+++ b/pkg/rollout/exposure.go
@@ -34,6 +34,10 @@
 // paced returns the part of the bound that the trial may use up to now.
 func (e *exposure) paced(now time.Time) float64 {
 	elapsed := now.Sub(e.started).Seconds() / max(e.cutoverAt.Sub(e.started).Seconds(), 1)
+	if !now.Before(e.cutoverAt) {
+		// The verdict is due, and the evidence was not clear.
+		return e.bound()
+	}
 	if e.suspicious {
 		elapsed += suspicionAdvance
 	}
@@ -75,7 +79,7 @@
 	if e.confirmed-e.used >= visit || e.paced(now)+float64(visit) <= float64(e.confirmed) {
 		return 0, false
 	}
-	block := max(minBlock, visit+1, int(math.Ceil(blockShare*e.expected(now))))
+	block := max(visit+minBlockStep, int(math.Ceil(blockShare*e.expected(now))))
 	mark := max(e.attempted, min(e.used+block, int(e.bound())))
-	return mark, mark > e.confirmed
+	return mark, mark >= e.confirmed+minBlockStep || mark > e.confirmed && mark == e.attempted
 }
--- a/pkg/rollout/params.go
+++ b/pkg/rollout/params.go
@@ -22,10 +22,10 @@
 	slackExponent    = 1.4
 	suspicionAdvance = 0.2
 	suspicionLogOdds = -1
-	// blockShare is the size of a block as a share of the expected exposure, and minBlock the smallest block. A new leader loses the
-	// unused part of the last block, and each block costs a write.
-	blockShare = 0.12
-	minBlock   = 6
+	// blockShare is the size of a block as a share of the expected exposure. A new leader loses the unused part of the last block,
+	// and each block costs a write. minBlockStep is the least increase of the stored mark.
+	blockShare   = 0.12
+	minBlockStep = 4
 
 	// storeRetry is the time after which a failed write is repeated.
 	storeRetry = 200 * time.Millisecond
@@ -44,11 +44,11 @@
 	completionGrace = 600 * time.Millisecond
 
 	// badLogOdds is the log odds from which the verdict is bad. Under the model of a good version, the odds reach this value
-	// in at most 1 of 400 rollouts.
-	badLogOdds = 6
+	// in at most 1 of 1,000 rollouts.
+	badLogOdds = 7
 	// goodLogOdds is the log odds up to which the verdict is good, and lateGoodLogOdds the same when no more time is left.
 	goodLogOdds     = -2
-	lateGoodLogOdds = 0
+	lateGoodLogOdds = 0.4
 	// completionLogOdds are the log odds up to which a rollout is completed after the cutover when no time is left.
 	completionLogOdds = 1.5
 	// minResponses and minServers are the numbers of responses and of servers without which no verdict is good.
--- a/pkg/rollout/reference.go
+++ b/pkg/rollout/reference.go
@@ -22,6 +22,8 @@
 	// priorFailureRate is the assumed failure rate, and priorResponses the number of responses that it is worth.
 	priorFailureRate = 0.015
 	priorResponses   = 15
+	// minFailureRate is the least failure rate that counts as normal, as the servers that are left out also have normal failures.
+	minFailureRate = 0.02
 	// slowFactor and slowOffset define a slow response by the median of the old servers: a response of a bad version takes several
 	// times longer, and links add some time.
 	slowFactor = 2.2
@@ -153,7 +155,7 @@
 		kept.count += s.count
 		kept.failed += s.failed
 	}
-	route.failureRate = (kept.failed + priorFailureRate*priorResponses) / (kept.count + priorResponses)
+	route.failureRate = max(minFailureRate, (kept.failed+priorFailureRate*priorResponses)/(kept.count+priorResponses))
 }
 
 // removeServers forgets old servers that no longer exist.
--- a/pkg/rollout/sim_test.go
+++ b/pkg/rollout/sim_test.go
@@ -189,6 +189,7 @@
 				best = i
 			}
 		}
+		debugLog("    old low-high %.1f odds %.1f %.1f", l.controller.evidence.shares[0].logOld-l.controller.evidence.shares[1].logOld, l.controller.evidence.shares[0].evidence.logOdds(), l.controller.evidence.shares[1].evidence.logOdds())
 		debugLog("    best %d of %d fault %v route %d prior %.1f ratio %.1f", best, len(hs), l.controller.evidence.shares[1].faults[hs[best].fault], hs[best].route, hs[best].logPrior, hs[best].logRatio)
 	}
 	sim.schedule.After(simTick, func() { sim.tick(l) })
--- a/pkg/rollout/weighed.go
+++ b/pkg/rollout/weighed.go
@@ -13,7 +13,7 @@
 	highGrayShare = 0.3
 	// minHighWeight is the least weight of highGrayShare, so that a few gray target servers do not make a good version look bad while
 	// no old server is gray.
-	minHighWeight = 0.1
+	minHighWeight = 0.2
 )
 
 // weighedEvidence combines the evidence under several shares of gray servers, weighed by how well each describes the old servers.
