--- a/cmd/standin/pkg/fleet/rollout_test.go
+++ b/cmd/standin/pkg/fleet/rollout_test.go
@@ -60,11 +60,11 @@
 	}
 }
 
-// addVersion starts servers of another version that behave as given.
-func (f *Fleet) addVersion(ctx context.Context, t *testing.T, version string, fault backendserver.Fault) []*backendserver.Server {
+// addNewVersion starts servers of the version v2 that behave as given.
+func (f *Fleet) addNewVersion(ctx context.Context, t *testing.T, fault backendserver.Fault) []*backendserver.Server {
 	t.Helper()
 	before := len(f.Servers)
-	require.NoError(t, f.AddServers(ctx, 4, version))
+	require.NoError(t, f.AddServers(ctx, 4, "v2"))
 	for _, server := range f.Servers[before:] {
 		server.SetFault(fault, 4*time.Millisecond)
 	}
@@ -84,7 +84,7 @@
 func TestGoodVersionIsCompleted(t *testing.T) {
 	ctx, f := startRolloutFleet(t, 3)
 	defer f.sendReads(ctx, 0, 1, 2)()
-	f.addVersion(ctx, t, "v2", backendserver.Healthy)
+	f.addNewVersion(ctx, t, backendserver.Healthy)
 	time.Sleep(2 * time.Second)
 	assert.Empty(t, f.RunsOf("v2"), "no order names the version")
 	f.Order("v2", 12*time.Second)
@@ -103,7 +103,7 @@
 func TestBadVersionIsReverted(t *testing.T) {
 	ctx, f := startRolloutFleet(t, 3)
 	defer f.sendReads(ctx, 0, 1, 2)()
-	f.addVersion(ctx, t, "v2", backendserver.InternalError)
+	f.addNewVersion(ctx, t, backendserver.InternalError)
 	f.Order("v2", 12*time.Second)
 	awaitStatus(t, f, "reverted")
 	exposed := len(f.RunsOf("v2"))
@@ -117,7 +117,7 @@
 // leader's status misleads.
 func TestRolloutOutlivesLeader(t *testing.T) {
 	ctx, f := startRolloutFleet(t, 4)
-	f.addVersion(ctx, t, "v2", backendserver.Healthy)
+	f.addNewVersion(ctx, t, backendserver.Healthy)
 	defer f.sendReads(ctx, 0, 1, 2, 3)()
 	f.Order("v2", 14*time.Second)
 	eventually(t, "the new version is exposed", func() bool { return len(f.RunsOf("v2")) > 10 })
@@ -132,7 +132,7 @@
 // the same version that does not start anew.
 func TestDeletedOrderIsReverted(t *testing.T) {
 	ctx, f := startRolloutFleet(t, 2)
-	f.addVersion(ctx, t, "v2", backendserver.Healthy)
+	f.addNewVersion(ctx, t, backendserver.Healthy)
 	defer f.sendReads(ctx, 0, 1)()
 	f.Order("v2", 10*time.Second)
 	eventually(t, "the new version is exposed", func() bool { return len(f.RunsOf("v2")) > 5 })
@@ -150,7 +150,7 @@
 func TestUnknownVersionIsUsedWithoutRollouts(t *testing.T) {
 	ctx, f := startFleet(t, 2, 2)
 	defer f.sendReads(ctx, 0, 1)()
-	f.addVersion(ctx, t, "v2", backendserver.Healthy)
+	f.addNewVersion(ctx, t, backendserver.Healthy)
 	eventually(t, "the new version is in use", func() bool { return len(f.RunsOf("v2")) > 3 })
 	f.Order("v3", time.Second)
 	f.Order("v1", time.Second)
