--- a/cmd/standin/pkg/fleet/rollout_test.go
+++ b/cmd/standin/pkg/fleet/rollout_test.go
@@ -61,14 +61,13 @@
 }
 
 // addNewVersion starts servers of the version v2 that behave as given.
-func (f *Fleet) addNewVersion(ctx context.Context, t *testing.T, fault backendserver.Fault) []*backendserver.Server {
+func (f *Fleet) addNewVersion(ctx context.Context, t *testing.T, fault backendserver.Fault) {
 	t.Helper()
 	before := len(f.Servers)
 	require.NoError(t, f.AddServers(ctx, 4, "v2"))
 	for _, server := range f.Servers[before:] {
 		server.SetFault(fault, 4*time.Millisecond)
 	}
-	return f.Servers[before:]
 }
 
 // awaitStatus waits until the system reports a state of the rollout to v2.
--- a/cmd/standin/pkg/soak/soak.go
+++ b/cmd/standin/pkg/soak/soak.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -48,7 +49,9 @@
 	Callers int
 	// FaultDuration is the time during which new faults are injected.
 	FaultDuration time.Duration
-	Out           io.Writer
+	// Rollouts means that a version is rolled out meanwhile, see runRollout.
+	Rollouts bool
+	Out      io.Writer
 }
 
 // Soak is the state of one run.
@@ -65,6 +68,7 @@
 	// configVersion is the version of the newest configuration in the store.
 	configVersion int
 	recorder      *recorder
+	rollout       rolloutRun
 
 	// mu serialises configure calls of overlapping faults.
 	mu sync.Mutex
@@ -99,14 +103,20 @@
 	}
 	var notices sync.WaitGroup
 	notices.Go(func() { s.injectNotices(ctx) })
+	var rollout sync.WaitGroup
+	if p.Rollouts {
+		rollout.Go(func() { s.runRollout(ctx) })
+	}
 	s.injectFaults(ctx)
 	notices.Wait()
+	rollout.Wait()
 	s.clearFaults()
 	recovered := s.waitUntil(ctx, s.allVMsServe)
 	configured := s.configureAroundRestore(ctx)
 	stopCallers()
 	callers.Wait()
-	violations := s.recorder.findViolations(s.servers)
+	violations := s.recorder.findViolations(slices.Concat(s.servers, s.rollout.servers))
+	violations = append(violations, s.checkRollout()...)
 	if !recovered {
 		violations = append(violations, "not all VMs served requests again within "+recoveryTimeout.String()+" of the last fault")
 	}
@@ -124,6 +134,9 @@
 			violations = append(violations, fmt.Sprintf("VM %d used %d MB of memory", v.index, v.peakMemory>>20))
 		}
 	}
+	if p.Rollouts {
+		_, _ = fmt.Fprintf(p.Out, "seed %d: %s\n", p.Seed, s.describeRollout())
+	}
 	_, _ = fmt.Fprintf(p.Out, "seed %d: %s, %d faults, %d notices, peak memory %d MB, violations: %d\n",
 		p.Seed, s.recorder, len(s.faults), s.noticeCount, peakMemory>>20, len(violations))
 	return violations, nil
@@ -154,6 +167,11 @@
 		go server.Serve(ctx)
 		go proxy.Serve(ctx)
 	}
+	if s.params.Rollouts {
+		if err := s.startNewVersion(ctx); err != nil {
+			return err
+		}
+	}
 	go s.register(ctx)
 	s.configure()
 	for i := range s.params.VMs {
@@ -163,6 +181,9 @@
 		}
 		go storeProxy.Serve(ctx)
 		v := &vm{index: i, ip: loopback.Host(i), folder: s.params.Folder, program: s.params.Program, storeProxy: storeProxy}
+		if s.params.Rollouts {
+			v.bounds = rolloutSettings
+		}
 		if err := v.start(ctx, s.params.VMs); err != nil {
 			return err
 		}
@@ -185,6 +206,11 @@
 		for _, server := range s.servers {
 			s.store.Put("keyed.servers", string(server.ID()), server.RegistryEntry("ready", sequence))
 		}
+		if s.rollout.registered.Load() {
+			for _, server := range s.rollout.servers {
+				s.store.Put("keyed.servers", string(server.ID()), server.RegistryEntry("ready", sequence))
+			}
+		}
 		timer.Sleep(ctx, heartbeatInterval)
 	}
 }
--- a/cmd/standin/pkg/soak/vm.go
+++ b/cmd/standin/pkg/soak/vm.go
@@ -33,6 +33,8 @@
 	program string
 	// storeProxy is the proxy through which this VM, and no other, reaches the store.
 	storeProxy *faultproxy.Proxy
+	// bounds are further lines of the settings on bounds.
+	bounds string
 
 	// restartMu is held during a restart, so that overlapping faults do not start a second process.
 	restartMu sync.Mutex
@@ -86,9 +88,9 @@
 coldOver = 1.5
 coldSlack = 5
 ttl_max = "5s"
-[platform]
+%s[platform]
 address = %q
-`, v.index, v.ip, v.index%2, loopback.PeerPort, loopback.PeerPort+5, seeds, v.callerAddress(), v.ip, loopback.ReadinessPort, v.resolveAddress(), memoryMB, graceSeconds, rateTolerance, rateSlackRequests, v.storeProxy.Address())
+`, v.index, v.ip, v.index%2, loopback.PeerPort, loopback.PeerPort+5, seeds, v.callerAddress(), v.ip, loopback.ReadinessPort, v.resolveAddress(), memoryMB, graceSeconds, rateTolerance, rateSlackRequests, v.bounds, v.storeProxy.Address())
 }
 
 // start writes the settings and starts the process.
