--- a/pkg/rollout/controller.go
+++ b/pkg/rollout/controller.go
@@ -42,9 +42,12 @@
 	logs    []LogLine
 	// logOdds is the log odds that the version is bad, as of the last Tick.
 	logOdds float64
-	// storedLogOdds is what the former leader stored.
-	storedLogOdds float64
-	paused        bool
+	// runningLogOdds also takes the attempts into account that run, as of runningAt.
+	runningLogOdds float64
+	runningAt      time.Time
+	// trusted means that the evidence of the former leader suffices.
+	trusted bool
+	paused  bool
 	// cutoverDue is the time of the cutover, once it has come.
 	cutoverDue time.Time
 }
@@ -65,7 +68,8 @@
 		focus: newFocus(), reference: newReference(), inFlight: newInFlight(),
 		evidence: newWeighedEvidence(now, min(maxStoredLogOdds, max(-maxStoredLogOdds, stored.LogOdds))),
 		bad:      stored.Bad, state: stored.State, wantState: azuretiller.RolloutActive, cutover: stored.Cutover, wantCutover: stored.Cutover,
-		logOdds: stored.LogOdds, storedLogOdds: stored.LogOdds,
+		logOdds: stored.LogOdds, runningLogOdds: stored.LogOdds,
+		trusted: stored.LogOdds <= trustedStoredLogOdds && stored.Reserved >= trustedReserved,
 	}
 	c.exposure = exposure{
 		params: p, started: started, requests: stored.Requests, countedSince: now,
@@ -73,7 +77,7 @@
 	}
 	c.exposure.cutoverAt = c.cutoverAt()
 	if c.bad >= badCountLimit {
-		c.badSince = now
+		c.badSince = now.Add(-inheritedBadAge)
 	}
 	if stored.State.Final() {
 		c.wantState = stored.State
--- a/pkg/rollout/decide.go
+++ b/pkg/rollout/decide.go
@@ -43,6 +43,12 @@
 	c.evidence.advance(now)
 	c.judge(now)
 	c.logOdds = c.evidence.logOdds()
+	if now.Sub(c.runningAt) >= runningInterval {
+		c.runningAt = now
+		running := c.evidence.clone()
+		c.inFlight.outstanding(now, c.weigh(running))
+		c.runningLogOdds = running.logOdds()
+	}
 	c.exposure.cutoverAt = c.cutoverAt()
 }
 
@@ -61,12 +67,12 @@
 
 // overseeExposure updates the servers in focus and pauses the exposure after too many bad responses.
 func (c *Controller) overseeExposure(now time.Time, s Servers) {
-	paused := !c.badSince.IsZero() && now.Sub(c.badSince) > c.params.Rollback-rollbackMargin && c.logOdds > trustedLogOdds
+	paused := !c.badSince.IsZero() && now.Sub(c.badSince) > c.params.Rollback-rollbackMargin && max(c.logOdds, c.runningLogOdds) > trustedLogOdds
 	if paused != c.paused {
 		c.paused = paused
 		c.log("rollout exposure", map[string]any{"paused": paused, "bad": c.bad, "logOdds": c.logOdds})
 	}
-	c.exposure.suspicious = c.logOdds > suspicionLogOdds
+	c.exposure.suspicious = max(c.logOdds, c.runningLogOdds) > suspicionLogOdds
 	slots := 0
 	for _, server := range s.Target {
 		slots += max(1, server.Slots)
@@ -92,22 +98,20 @@
 		latest = extended
 	}
 	switch {
-	case c.logOdds >= badLogOdds:
+	case max(c.logOdds, c.runningLogOdds) >= badLogOdds:
 		c.revert("the target version is bad")
 	case c.wantCutover:
-		if now.After(latest) {
+		if now.After(c.deadline.Add(-completionGrace)) {
 			c.revert("the cutover could not be stored in time")
 		}
 	case now.Before(cutoverAt):
 	case now.After(latest):
-		c.revert("too late for the cutover")
-	case c.good(now, s, goodLogOdds) && c.evidence.sufficient(c.focus.count()):
+		c.revert("no verdict in time")
+	case c.good(s, goodLogOdds) && c.evidence.sufficient(c.focus.count()):
 		c.startCutover()
 	case now.Before(cutoverAt.Add(cutoverExtension)):
-	case c.good(now, s, lateGoodLogOdds):
+	case c.good(s, lateGoodLogOdds):
 		c.startCutover()
-	default:
-		c.revert("no verdict in time")
 	}
 }
 
@@ -117,7 +121,7 @@
 	if c.wantState == azuretiller.RolloutCompleted {
 		return
 	}
-	if c.logOdds >= badLogOdds {
+	if max(c.logOdds, c.runningLogOdds) >= badLogOdds {
 		c.revert("the target version is bad after the cutover")
 		return
 	}
@@ -126,24 +130,19 @@
 	}
 	last := !now.Before(c.deadline.Add(-completionGrace))
 	switch {
-	case last && c.logOdds > completionLogOdds:
+	case last && c.runningLogOdds > completionLogOdds:
 		c.revert("the target version is probably bad")
-	case last || c.logOdds < 0:
+	case last || max(c.logOdds, c.runningLogOdds) < goodLogOdds:
 		c.wantState = azuretiller.RolloutCompleted
 		c.logVerdict("rollout completion")
 	}
 }
 
-// good reports whether there is enough evidence that the version is good. The time that attempts already
-// take is taken into account, since the responses of a version that is slow or hangs come late.
-func (c *Controller) good(now time.Time, s Servers, threshold float64) bool {
-	sufficient := c.evidence.sufficient(c.focus.count()) || c.storedLogOdds <= trustedStoredLogOdds
-	if c.logOdds > threshold || !sufficient || len(s.Target) == 0 {
-		return false
-	}
-	late := c.evidence.clone()
-	c.inFlight.outstanding(now, c.weigh(late))
-	return late.logOdds() <= threshold
+// good reports whether there is enough evidence that the version is good. The attempts that run are taken into account, since
+// the responses of a version that is slow or hangs come late.
+func (c *Controller) good(s Servers, threshold float64) bool {
+	sufficient := c.evidence.sufficient(c.focus.count()) || c.trusted
+	return sufficient && len(s.Target) > 0 && max(c.logOdds, c.runningLogOdds) <= threshold
 }
 
 func (c *Controller) startCutover() {
--- a/pkg/rollout/params.go
+++ b/pkg/rollout/params.go
@@ -41,7 +41,7 @@
 	// cutoverExtension is how much later the cutover may be if the verdict is uncertain.
 	cutoverExtension = 500 * time.Millisecond
 	// completionGrace is the time before the time limit from which a completion is no longer put off by suspicion.
-	completionGrace = 600 * time.Millisecond
+	completionGrace = 900 * time.Millisecond
 
 	// badLogOdds is the log odds from which the verdict is bad. Under the model of a good version, the odds reach this value
 	// in at most 1 of 1,000 rollouts.
@@ -56,8 +56,14 @@
 	minServers   = 3
 	// maxStoredLogOdds limits what a new leader takes over from the log odds of its predecessor.
 	maxStoredLogOdds = 4
-	// trustedStoredLogOdds are the log odds of the predecessor with which a new leader may decide without responses of its own.
-	trustedStoredLogOdds = -1.5
+	// trustedStoredLogOdds are the log odds of the predecessor with which a new leader may decide without responses of its own, if at
+	// least trustedReserved attempts were reserved.
+	trustedStoredLogOdds = -0.4
+	trustedReserved      = 30
+	// runningInterval is the least time between two evaluations that include the attempts that run.
+	runningInterval = 200 * time.Millisecond
+	// inheritedBadAge is the assumed time since badCountLimit was reached, if a former leader stored that it may have been.
+	inheritedBadAge = 2 * time.Second
 
 	// badCountLimit is the number of bad responses after which Params.Rollback is counted. The operator counts from the 50th.
 	badCountLimit = 45
@@ -82,7 +88,7 @@
 	// overdueAfter is the least time after which an attempt without a result counts as failed. Without it, the responses of a version
 	// that hangs would look good, as the good ones come first. It is longer than the time in which the leader usually
 	// notices that the VM of the attempt is lost.
-	overdueAfter = 1200 * time.Millisecond
+	overdueAfter = 1600 * time.Millisecond
 	// overdueFactor is the least time in multiples of the threshold of slow responses.
 	overdueFactor = 1.5
 )
--- a/pkg/rollout/sim_test.go
+++ b/pkg/rollout/sim_test.go
@@ -189,6 +189,11 @@
 				best = i
 			}
 		}
+		debugLog("    oldRunning %d late %.1f want %v writing %v", sim.oldRunning, func() float64 {
+			x := l.controller.evidence.clone()
+			l.controller.inFlight.outstanding(now, l.controller.weigh(x))
+			return x.logOdds()
+		}(), l.controller.wantState, l.controller.writing)
 		debugLog("    old low-high %.1f odds %.1f %.1f", l.controller.evidence.shares[0].logOld-l.controller.evidence.shares[1].logOld, l.controller.evidence.shares[0].evidence.logOdds(), l.controller.evidence.shares[1].evidence.logOdds())
 		debugLog("    best %d of %d fault %v route %d prior %.1f ratio %.1f", best, len(hs), l.controller.evidence.shares[1].faults[hs[best].fault], hs[best].route, hs[best].logPrior, hs[best].logRatio)
 	}
