Use no server of a running rollout after a pause of a VM or of the leader

Cause: a VM or a leader that was paused acted on what it knew before for some milliseconds, in which the platform may have stopped the old servers. Enabling rollouts by a reload keeps the servers in use.

--- a/pkg/edge/control.go
+++ b/pkg/edge/control.go
@@ -78,7 +78,7 @@
 func (e *Edge) tick(ctx context.Context, now time.Time) {
 	e.member.SetReady(e.State().Ready(), e.revision())
 	view := e.member.View()
-	e.gate.SetView(view)
+	e.gate.SetView(view, now.Add(leader.MaxViewUse-e.member.LeaderUnreachableFor(now)))
 	if e.gate.Drained() {
 		e.member.SetDrained(view.Term, view.Version)
 	}
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -194,7 +194,7 @@
 			Notice: platform.ServerNotice{Leaving: verdict == servergate.Leaving, PauseFor: pause},
 		}
 	}
-	if !c.gateway.gate.Start(p.Server, p.Ticket == 0, p.Term) {
+	if !c.gateway.gate.Start(c.gateway.common.Clock.Now(), p.Server, p.Ticket == 0, p.Term) {
 		c.gateway.common.Metrics.Counter("attempts_withdrawn").Inc(1)
 		return upstream.Response{Result: message.Withheld, Err: errors.Newf("not sent: a rollout withdrew backend server %s", p.Server)}
 	}
--- a/pkg/leader/leader.go
+++ b/pkg/leader/leader.go
@@ -70,6 +70,8 @@
 	rollouts      *rollouts
 	// serversKnown means that SetServers has been called.
 	serversKnown bool
+	// tickedAt is when Tick was last called.
+	tickedAt time.Time
 	// confirmedAt is when the store last confirmed the term, zero if it has not.
 	confirmedAt time.Time
 	// drainedBefore maps the host:port of each lost VM to the newest view that it had drained.
@@ -141,6 +143,7 @@
 		self:             self,
 		address:          address,
 		startedAt:        now,
+		tickedAt:         now,
 		first:            isFirst(rates),
 		members:          map[string]*member{},
 		lost:             map[string]time.Time{},
@@ -181,7 +184,7 @@
 // SetParams replaces the parameters of the leader and of its schedulers.
 func (l *Leader) SetParams(p Params) {
 	l.params = p
-	l.rollouts.params = p.Rollout
+	l.enableRollouts(p.Rollout)
 	l.limiter.SetTolerance(p.RateTolerance, tolerancePart)
 	l.ledger.SetWindow(p.RateTolerance.Window)
 	for _, s := range l.schedulers {
@@ -289,6 +292,7 @@
 
 // Tick advances time: it ends queue waits, removes members without heartbeats, expires cached state and sends a changed view.
 func (l *Leader) Tick(now time.Time) []Effect {
+	l.tickedAt = now
 	var effects []Effect
 	for service, s := range l.schedulers {
 		effects = append(effects, l.applyDecisions(now, service, s.Tick(now))...)
--- a/pkg/leader/rollout_faults_test.go
+++ b/pkg/leader/rollout_faults_test.go
@@ -228,6 +228,34 @@
 	}
 }
 
+// TestLeaderThatWasPausedPlacesNothingAtFirst guards against a leader that was replaced during a pause and places requests on old servers before
+// it notices.
+func TestLeaderThatWasPausedPlacesNothingAtFirst(t *testing.T) {
+	f := newRolloutFleet(t)
+	f.steps(time.Second)
+	placed := f.placed["v1"]
+	f.now = f.now.Add(3 * time.Second)
+	f.request(f.vms[0])
+	assert.Equal(t, placed, f.placed["v1"])
+	f.steps(100 * time.Millisecond)
+	assert.Greater(t, f.placed["v1"], placed)
+}
+
+// TestEnablingRolloutsKeepsServersInUse guards against a reload of the settings that closes all servers for a moment.
+func TestEnablingRolloutsKeepsServersInUse(t *testing.T) {
+	f := newRolloutFleet(t)
+	p := f.leader.params
+	enabled := p.Rollout
+	p.Rollout = rollout.Params{}
+	f.leader.rollouts = newRollouts(p.Rollout, 1)
+	f.leader.SetParams(p)
+	f.steps(2 * time.Second)
+	f.store.away = true
+	p.Rollout = enabled
+	f.leader.SetParams(p)
+	assert.Equal(t, 100, f.placedDuring(time.Second)["v1"])
+}
+
 // TestNewLeaderUsesVersionsOfFormerView guards against a leader that uses a version which its predecessor kept closed, before it has read the
 // stored rollouts.
 func TestNewLeaderUsesVersionsOfFormerView(t *testing.T) {
--- a/pkg/leader/rollout_run.go
+++ b/pkg/leader/rollout_run.go
@@ -29,6 +29,17 @@
 	return l.applyServers(now)
 }
 
+// enableRollouts replaces the bounds on rollouts. If there were none before, the servers in use stay so until the rollouts are known.
+func (l *Leader) enableRollouts(p rollout.Params) {
+	if !l.rollouts.enabled() && p.ExposeShare > 0 {
+		l.rollouts.inherited = map[azuretiller.InstanceID]bool{}
+		for _, s := range l.servers {
+			l.rollouts.inherited[s.ID] = !s.Closed
+		}
+	}
+	l.rollouts.params = p
+}
+
 // SetOrders replaces the orders for rollouts, which were read in this term.
 func (l *Leader) SetOrders(now time.Time, orders map[azuretiller.ServiceID]azuretiller.RecordedOrder) []Effect {
 	if !l.rollouts.enabled() {
@@ -191,9 +202,15 @@
 	}
 }
 
-// awaitsRollouts reports whether a request should be sent again, since this leader does not know yet which servers may get it.
+// awaitsRollouts reports whether a request should be sent again, since this leader does not know which servers may get it: it has just been
+// elected, or was paused and may have been replaced meanwhile.
 func (l *Leader) awaitsRollouts(now time.Time, backends []config.Backend) bool {
-	if !l.rollouts.enabled() || now.Sub(l.startedAt) > rolloutWait {
+	switch {
+	case !l.rollouts.enabled():
+		return false
+	case now.Sub(l.tickedAt) > heartbeatTimeout:
+		return true
+	case now.Sub(l.startedAt) > rolloutWait:
 		return false
 	}
 	for _, b := range backends {
