Count the lease of the view from answered heartbeats, and probe lost VMs

Cause: a VM killed shortly before the cutover delayed the completion of a good version by up to 6.3 s with a timeout of 3 s, past its time limit. Change: VMs alone use old servers for 1.5 s after they sent the last heartbeat that was answered; the leader counts from the last heartbeat, and not at all for a VM whose address refuses connections.

--- a/pkg/edge/control.go
+++ b/pkg/edge/control.go
@@ -78,7 +78,7 @@
 func (e *Edge) tick(ctx context.Context, now time.Time) {
 	e.member.SetReady(e.State().Ready(), e.revision())
 	view := e.member.View()
-	e.gate.SetView(view, now.Add(leader.MaxViewUse-e.member.LeaderUnreachableFor(now)))
+	e.gate.SetView(view, now.Add(leader.MaxViewUse-e.member.ViewLeaseAge(now)))
 	if e.gate.Drained() {
 		e.member.SetDrained(view.Term, view.Version)
 	}
@@ -336,6 +336,8 @@
 			e.confirmTerm(e.runCtx)
 		case leader.WriteRates:
 			go e.writeRates(e.runCtx, e.leader.Term(), v.Rates)
+		case leader.ProbeVM:
+			e.probeVM(e.runCtx, e.leader.Term(), v.Address)
 		case leader.ReadRollouts, leader.StoreRollout, leader.ReportRollout:
 			e.callRollouts(e.runCtx, e.leader.Term(), v)
 		case leader.LogLine:
@@ -378,11 +380,11 @@
 		LeaderExpected: e.member.LeaderUnreachableFor(now) < leaderExpectedFor,
 		Leaving:        e.leaving,
 		Members:        view.Members,
-		Servers:        closeUnrenewed(view.Servers, e.member.LeaderUnreachableFor(now)),
+		Servers:        closeUnrenewed(view.Servers, e.member.ViewLeaseAge(now)),
 	}
 	listed := listedServers{term: view.Term, version: view.Version}
 	if !s.LeaderReachable && now.Sub(e.reads.lastRegistryRead()) < maxOwnServersAge && e.member.LeaderUnreachableFor(now) > leaderlessReadAfter {
-		s.Servers = closeUnrenewed(e.ownServers(now), e.member.LeaderUnreachableFor(now))
+		s.Servers = closeUnrenewed(e.ownServers(now), e.member.ViewLeaseAge(now))
 		listed = listedServers{readAt: e.reads.lastServersRead}
 	}
 	if listed != e.listed {
--- a/pkg/edge/rollouts.go
+++ b/pkg/edge/rollouts.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"net"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
 
 	"github.com/azuretiller/azuretiller"
 	"github.com/azuretiller/azuretiller/pkg/leader"
@@ -17,6 +20,9 @@
 // rolloutCallTimeout bounds each call to the store about rollouts: a block of exposure or a status that is late by more is of little use.
 const rolloutCallTimeout = time.Second
 
+// probeTimeout bounds a connection attempt to a lost VM; a refusal comes within milliseconds.
+const probeTimeout = 250 * time.Millisecond
+
 // rolloutsResult is the result of reading the stored rollouts, for the leader of a term or, with term 0, for a VM without a leader.
 type rolloutsResult struct {
 	term   azuretiller.Term
@@ -39,6 +45,12 @@
 	err     error
 }
 
+// vmGone tells the leader of a term that no process listens on the address of a lost VM.
+type vmGone struct {
+	term    azuretiller.Term
+	address string
+}
+
 func rolloutParams(b platform.Bounds) rollout.Params {
 	return rollout.Params{ExposeShare: b.ExposeShare, ExposeSlack: b.ExposeSlack, Rollback: b.Rollback}
 }
@@ -65,10 +77,28 @@
 	}()
 }
 
+// probeVM connects to a lost VM. If the connection is refused, its process has ended, and with it the requests that it had sent.
+func (e *Edge) probeVM(ctx context.Context, term azuretiller.Term, address string) {
+	go func() {
+		dialer := net.Dialer{Timeout: probeTimeout}
+		conn, err := dialer.DialContext(ctx, "tcp", address)
+		if err == nil {
+			_ = conn.Close()
+		}
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			e.deliver(ctx, vmGone{term, address})
+		}
+	}()
+}
+
 // handleRollouts handles the result of a call to the store about rollouts.
 func (e *Edge) handleRollouts(now time.Time, event any) {
 	leads := func(term azuretiller.Term) bool { return e.leader != nil && e.leader.Term() == term }
 	switch v := event.(type) {
+	case vmGone:
+		if leads(v.term) {
+			e.leader.VMGone(v.address)
+		}
 	case rolloutsResult:
 		e.logRolloutError(v.err, "failed to read rollouts", nil)
 		switch {
@@ -166,8 +196,8 @@
 }
 
 // closeUnrenewed returns the servers of the view without those that a leader may have withdrawn since this VM had contact to one.
-func closeUnrenewed(servers []message.Server, unreachableFor time.Duration) []message.Server {
-	if unreachableFor < leader.MaxViewUse {
+func closeUnrenewed(servers []message.Server, leaseAge time.Duration) []message.Server {
+	if leaseAge < leader.MaxViewUse {
 		return servers
 	}
 	list := servers
--- a/pkg/leader/effect.go
+++ b/pkg/leader/effect.go
@@ -7,7 +7,8 @@
 	"github.com/azuretiller/azuretiller/pkg/message"
 )
 
-// Effect is an action that the process carries out for the leader: a Send, a ReadLeader, a WriteRates or a LogLine.
+// Effect is an action that the process carries out for the leader: a Send, a ReadLeader, a WriteRates, a LogLine, a ProbeVM, or one of the calls
+// to the store about rollouts.
 type Effect interface{ effect() }
 
 // Send sends a message to a VM; To is its host:port.
--- a/pkg/leader/leader.go
+++ b/pkg/leader/leader.go
@@ -76,6 +76,9 @@
 	confirmedAt time.Time
 	// drainedBefore maps the host:port of each lost VM to the newest view that it had drained.
 	drainedBefore map[string]uint64
+	// silentSince maps it to the time of its last heartbeat, and probedAt is when lost VMs were last probed.
+	silentSince map[string]time.Time
+	probedAt    time.Time
 	// leaving are the servers that told a VM that they are about to stop.
 	leaving map[azuretiller.InstanceID]leavingServer
 	// servers are the entries of the servers in the view.
@@ -162,6 +165,7 @@
 		handedOver:       map[azuretiller.Term]bool{},
 		rollouts:         newRollouts(p.Rollout, term),
 		drainedBefore:    map[string]uint64{},
+		silentSince:      map[string]time.Time{},
 	}
 	l.ledger.SetWindow(p.RateTolerance.Window)
 	for _, peer := range peers {
@@ -301,7 +305,7 @@
 		if now.Sub(m.heartbeatAt) > heartbeatTimeout {
 			delete(l.members, peer)
 			l.lost[peer] = now
-			l.drainedBefore[peer] = m.drainedView
+			l.drainedBefore[peer], l.silentSince[peer] = m.drainedView, m.heartbeatAt
 			l.viewChanged = true
 			effects = append(effects, LogLine{"vm lost", log.Fields{"vm": m.heartbeat.VM, "silent": now.Sub(m.heartbeatAt), "term": l.term}})
 			effects = append(effects, l.releaseAttempts(now, peer)...)
--- a/pkg/leader/members.go
+++ b/pkg/leader/members.go
@@ -95,6 +95,7 @@
 	m.heartbeat = hb
 	m.heartbeatAt = now
 	delete(l.lost, from)
+	delete(l.silentSince, from)
 	response := l.heartbeatResponse(true)
 	l.ledger.Receive(now, hb.VM, hb, restarted)
 	l.ledger.Respond(now, hb.VM, hb, &response)
--- a/pkg/leader/rollout_drain.go
+++ b/pkg/leader/rollout_drain.go
@@ -1,6 +1,7 @@
 package leader
 
 import (
+	"math"
 	"time"
 
 	"github.com/apex/log"
@@ -11,8 +12,11 @@
 )
 
 const (
-	// MaxViewUse is how long a VM without contact to the leader uses servers that a rollout may withdraw. A lost leader is replaced sooner.
-	MaxViewUse = 2 * time.Second
+	// MaxViewUse is how long after its last answered heartbeat a VM alone uses servers that a rollout may withdraw. A lost leader is usually
+	// replaced sooner.
+	MaxViewUse = 1500 * time.Millisecond
+	// probeInterval is the time between two probes of lost VMs.
+	probeInterval = 300 * time.Millisecond
 	// maxUnconfirmed is how long a leader that lost many VMs uses such servers since the store last confirmed its term, as a successor may have
 	// withdrawn them.
 	maxUnconfirmed = MaxViewUse
@@ -42,7 +46,7 @@
 }
 
 // lostMayUseOld reports whether a VM that does not follow this leader may still use old servers. Such a VM ceases to send requests there
-// MaxViewUse after its contact to a leader, and the last ones end by their deadlines. The leader that it follows, if there is another one,
+// MaxViewUse after its last heartbeat that a leader answered, and the last ones end by their deadlines or with its process. The leader that it follows, if there is another one,
 // has not been confirmed since this term was claimed, see suspendRollouts.
 func (l *Leader) lostMayUseOld(now time.Time, s *serviceRollout) bool {
 	longest := defaultLongestRequest
@@ -53,6 +57,10 @@
 		if l.drainedBefore[peer] >= s.withdrawnIn {
 			continue
 		}
+		// A VM that this leader knows from earlier terms may have had contact until this term began.
+		if at, ok := l.silentSince[peer]; ok {
+			since = at
+		}
 		if now.Before(since.Add(MaxViewUse + longest)) {
 			return true
 		}
@@ -60,6 +68,39 @@
 	return false
 }
 
+// ProbeVM connects to a lost VM. If the connection is refused, the process calls VMGone.
+type ProbeVM struct{ Address string }
+
+func (ProbeVM) effect() {}
+
+// VMGone records that the process of a lost VM has ended. A new process learns of the rollouts before it uses servers.
+func (l *Leader) VMGone(address string) {
+	if _, ok := l.lost[address]; ok {
+		l.drainedBefore[address] = math.MaxUint64
+	}
+}
+
+// probeLost returns probes of the lost VMs for which a completion waits.
+func (l *Leader) probeLost(now time.Time) []Effect {
+	if now.Sub(l.probedAt) < probeInterval {
+		return nil
+	}
+	var effects []Effect
+	for _, s := range l.rollouts.services {
+		if s.phase() != rollout.Cutover || !l.lostMayUseOld(now, s) {
+			continue
+		}
+		l.probedAt = now
+		for peer := range l.lost {
+			if l.drainedBefore[peer] < s.withdrawnIn {
+				effects = append(effects, ProbeVM{Address: peer})
+			}
+		}
+		return effects
+	}
+	return nil
+}
+
 // suspendRollouts stops the use of the servers of running rollouts, which a successor may have withdrawn, while this leader may have one without knowing it. It
 // reports whether that changed. While only the store is unavailable, there is no successor, and the VMs still follow this leader.
 func (l *Leader) suspendRollouts(now time.Time) bool {
--- a/pkg/leader/rollout_faults_test.go
+++ b/pkg/leader/rollout_faults_test.go
@@ -184,16 +184,32 @@
 	f.cutOver()
 	late := f.vms[1]
 	f.vms = f.vms[:1]
-	silentSince := f.now
-	for f.now.Sub(silentSince) < time.Second {
+	lastHeartbeat := f.now
+	for end := f.now.Add(time.Second); f.now.Before(end); {
+		lastHeartbeat = f.now
 		// The VM follows the leader, but an attempt that it placed alone still runs on an old server.
 		f.run(f.leader.Receive(f.now, late, message.Envelope{Body: message.Heartbeat{VM: azuretiller.VMID(late), Incarnation: 1, Ready: true, Term: 1, ViewVersion: 99}}))
 		f.step()
 	}
 	assert.Equal(t, azuretiller.RolloutActive, f.store.stored.Statuses["s"].State)
-	lostAt := f.now
 	f.stepsUntil(azuretiller.RolloutCompleted, 10*time.Second)
-	assert.GreaterOrEqual(t, f.now.Sub(lostAt), MaxViewUse+2*time.Second, "until the last request of the VM has ended")
+	assert.GreaterOrEqual(t, f.now.Sub(lastHeartbeat), MaxViewUse+2*time.Second, "until the last request of the VM has ended")
+}
+
+// TestCompletionDoesNotWaitForEndedProcess guards against a good version that is completed too late because a VM has just been killed.
+func TestCompletionDoesNotWaitForEndedProcess(t *testing.T) {
+	f := newRolloutFleet(t)
+	f.cutOver()
+	killed := f.vms[1]
+	f.vms = f.vms[:1]
+	for end := f.now.Add(heartbeatTimeout + 50*time.Millisecond); f.now.Before(end); {
+		f.step()
+	}
+	assert.Equal(t, azuretiller.RolloutActive, f.store.stored.Statuses["s"].State)
+	f.leader.probedAt = time.Time{}
+	assert.Contains(t, f.leader.probeLost(f.now), ProbeVM{Address: killed})
+	f.leader.VMGone(killed)
+	f.stepsUntil(azuretiller.RolloutCompleted, 100*time.Millisecond)
 }
 
 // TestVMLostLongAgoDoesNotDelayCompletion guards against a good version that is completed too late.
--- a/pkg/leader/rollout_run.go
+++ b/pkg/leader/rollout_run.go
@@ -97,6 +97,7 @@
 	if changed {
 		effects = append(effects, l.applyServers(now)...)
 	}
+	effects = append(effects, l.probeLost(now)...)
 	effects = append(effects, r.nextCall(now)...)
 	effects = append(effects, r.logs...)
 	r.logs = nil
--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -70,6 +70,8 @@
 	knownToLeader bool
 	// strongerVMs is how many VMs that could lead have more CPU capacity than this one, by the last answer of a leader.
 	strongerVMs int
+	// renewedAt is when the last heartbeat that the leader answered was sent, by the clock of holder.
+	renewedAt time.Duration
 	// heartbeatSenders maps the host:port of each VM that sends heartbeats to this one, although it does not lead, to the time of
 	// the last one.
 	heartbeatSenders map[string]time.Time
@@ -146,6 +148,12 @@
 	return now.Sub(m.leaderAnsweredAt)
 }
 
+// ViewLeaseAge returns the time since this VM sent the last heartbeat that a leader answered. Unlike the time since the answer, the leader
+// cannot take it for longer than it is, however late the answer was handled.
+func (m *Member) ViewLeaseAge(now time.Time) time.Duration {
+	return m.holder.Clock(now) - m.renewedAt
+}
+
 // HeldShare returns the share of the teams' rates that this VM holds, and the sum of the shares of the VMs before it.
 func (m *Member) HeldShare(now time.Time) (share, offset azuretiller.RateShare) {
 	return m.holder.Held(now), m.holder.Offset()
--- a/pkg/member/receive.go
+++ b/pkg/member/receive.go
@@ -89,6 +89,10 @@
 	}
 	if response.Stamp > 0 {
 		m.strongerVMs = response.StrongerVMs
+		// A response to a former process of this VM may hold a later time.
+		if response.SentAt <= m.holder.Clock(now) {
+			m.renewedAt = max(m.renewedAt, response.SentAt)
+		}
 	}
 	// The leader may spend the share of this VM only when it knows that this VM received a stamp.
 	heartbeatDue := m.holder.Receive(now, response)
