--- a/pkg/leader/rollout_store.go
+++ b/pkg/leader/rollout_store.go
@@ -12,8 +12,9 @@
 	"github.com/azuretiller/azuretiller/pkg/rollout"
 )
 
-// rolloutReadInterval is the time between two reads of the stored rollouts after a failed call.
-const rolloutReadInterval = 400 * time.Millisecond
+// rolloutRetryInterval is the time from a failed read of the stored rollouts to the next one, and from a failed write to the next one. After a
+// failed write, the store is read at once: a cutover must be stored within a second.
+const rolloutRetryInterval = 150 * time.Millisecond
 
 // errWriteUnknown means that the store does not hold a progress whose write had no clear result.
 var errWriteUnknown = errors.New("the progress was not found in the store")
@@ -23,9 +24,9 @@
 	stored azuretiller.StoredRollouts
 	// known means that stored is up to date. It is false before the first read and after a write without a clear result.
 	known bool
-	// calling means that a call is under way. Failed calls are repeated at retryAt.
-	calling bool
-	retryAt time.Time
+	// calling means that a call is under way. After failed calls, the next read is due at readAt, and the next write at writeAt.
+	calling         bool
+	readAt, writeAt time.Time
 	// replaced means that the leader of a later term has written, so that this one must not.
 	replaced bool
 }
@@ -53,13 +54,19 @@
 // nextCall returns the call to the store that is due, if any.
 func (r *rollouts) nextCall(now time.Time) []Effect {
 	st := &r.store
-	if st.calling || st.replaced || now.Before(st.retryAt) {
+	if st.calling || st.replaced {
 		return nil
 	}
 	if !st.known {
+		if now.Before(st.readAt) {
+			return nil
+		}
 		st.calling = true
 		return []Effect{ReadRollouts{}}
 	}
+	if now.Before(st.writeAt) {
+		return nil
+	}
 	for _, id := range slices.Sorted(maps.Keys(r.services)) {
 		s := r.services[id]
 		if s.next != nil {
@@ -91,7 +98,7 @@
 	st := &r.store
 	st.calling = false
 	if err != nil {
-		st.retryAt = now.Add(rolloutReadInterval)
+		st.readAt = now.Add(rolloutRetryInterval)
 		return
 	}
 	for id, record := range stored.Records {
@@ -145,9 +152,7 @@
 	st := &r.store
 	st.calling = false
 	if err != nil {
-		// The write may have been made, or the leader of a later term may have written.
-		st.known = false
-		st.retryAt = r.retryTime(now, err)
+		st.writeFailed(now)
 		return
 	}
 	st.stored.NextRecord.Offset++
@@ -157,12 +162,10 @@
 	}
 }
 
-// retryTime returns when the stored rollouts are read again after a failed write: at once if others have written.
-func (r *rollouts) retryTime(now time.Time, err error) time.Time {
-	if errors.Is(err, azuretiller.ErrClaimLost) {
-		return now
-	}
-	return now.Add(rolloutReadInterval)
+// writeFailed handles a write without a clear result: it may have been made, or the leader of a later term may have written.
+func (st *rolloutStore) writeFailed(now time.Time) {
+	st.known = false
+	st.writeAt = now.Add(rolloutRetryInterval)
 }
 
 // reported handles the result of ReportRollout.
@@ -170,8 +173,7 @@
 	st := &r.store
 	st.calling = false
 	if err != nil {
-		st.known = false
-		st.retryAt = r.retryTime(now, err)
+		st.writeFailed(now)
 		return
 	}
 	st.stored.NextStatus.Offset++
