Compare only with old attempts whose time to end has passed

Cause: the first durations that a new leader sees are the short ones, so that a good version looked slow to it.

--- a/pkg/rollout/controller.go
+++ b/pkg/rollout/controller.go
@@ -21,8 +21,10 @@
 	order  azuretiller.RolloutOrder
 	phase  Phase
 	// deadline is the time limit.
-	deadline  time.Time
-	started   time.Time
+	deadline time.Time
+	started  time.Time
+	// created is when this leader began to observe the old servers.
+	created   time.Time
 	exposure  exposure
 	focus     *focus
 	reference *reference
@@ -64,7 +66,7 @@
 		started = latest
 	}
 	c := &Controller{
-		params: p, order: order, phase: Trial, started: started, deadline: started.Add(order.Duration),
+		params: p, order: order, phase: Trial, started: started, created: now, deadline: started.Add(order.Duration),
 		focus: newFocus(), reference: newReference(), inFlight: newInFlight(),
 		evidence: newWeighedEvidence(now, min(maxStoredLogOdds, max(-maxStoredLogOdds, stored.LogOdds))),
 		bad:      stored.Bad, state: stored.State, wantState: azuretiller.RolloutActive, cutover: stored.Cutover, wantCutover: stored.Cutover,
@@ -195,7 +197,9 @@
 func (c *Controller) judge(now time.Time) {
 	limit := func(route azuretiller.RouteID) time.Duration { return max(overdueAfter, c.overdueLimit(route)) }
 	c.inFlight.judgeOverdue(now, limit, func(server azuretiller.InstanceID) { c.countBad(now, server) })
-	c.inFlight.take(c.weigh(c.evidence))
+	if now.Sub(c.created) >= referenceWarmup {
+		c.inFlight.take(c.weigh(c.evidence))
+	}
 }
 
 func (c *Controller) overdueLimit(route azuretiller.RouteID) time.Duration {
--- a/pkg/rollout/decide.go
+++ b/pkg/rollout/decide.go
@@ -43,7 +43,7 @@
 	c.evidence.advance(now)
 	c.judge(now)
 	c.logOdds = c.evidence.logOdds()
-	if now.Sub(c.runningAt) >= runningInterval {
+	if now.Sub(c.runningAt) >= runningInterval && now.Sub(c.created) >= referenceWarmup {
 		c.runningAt = now
 		running := c.evidence.clone()
 		c.inFlight.outstanding(now, c.weigh(running))
--- a/pkg/rollout/durations.go
+++ b/pkg/rollout/durations.go
@@ -29,6 +29,9 @@
 	fewDurations = 2
 	// minExceeding is the smallest probability of a longer duration.
 	minExceeding = 0.02
+	// settledAfter is the time from sending an attempt after which its duration counts. Without it, the first durations that a new
+	// leader sees would be the short ones, as the long ones come later.
+	settledAfter = 1500 * time.Millisecond
 	// refreshInterval is the least time between two computations of the density.
 	refreshInterval = 200 * time.Millisecond
 )
@@ -37,13 +40,35 @@
 type durations struct {
 	kept []time.Duration
 	next int
+	// unsettled are the durations that do not count yet.
+	unsettled []unsettledDuration
 	// sorted and density describe the durations as of refreshed.
 	sorted    []time.Duration
 	density   [densityBins]float64
 	refreshed time.Time
 }
 
-func (d *durations) add(took time.Duration) {
+type unsettledDuration struct {
+	sent time.Time
+	took time.Duration
+}
+
+func (d *durations) add(now time.Time, took time.Duration) {
+	d.unsettled = append(d.unsettled, unsettledDuration{sent: now.Add(-took), took: took})
+}
+
+// settle takes the durations over that count from now on.
+func (d *durations) settle(now time.Time) {
+	d.unsettled = slices.DeleteFunc(d.unsettled, func(u unsettledDuration) bool {
+		if now.Sub(u.sent) < settledAfter {
+			return false
+		}
+		d.keep(u.took)
+		return true
+	})
+}
+
+func (d *durations) keep(took time.Duration) {
 	if len(d.kept) < keptDurations {
 		d.kept = append(d.kept, took)
 		return
@@ -54,7 +79,11 @@
 
 // refresh computes the density from the durations.
 func (d *durations) refresh(now time.Time) {
-	if len(d.kept) < minDurations || now.Sub(d.refreshed) < refreshInterval {
+	if now.Sub(d.refreshed) < refreshInterval {
+		return
+	}
+	d.settle(now)
+	if len(d.kept) < minDurations {
 		return
 	}
 	d.refreshed = now
--- a/pkg/rollout/params.go
+++ b/pkg/rollout/params.go
@@ -27,6 +27,9 @@
 	blockShare   = 0.12
 	minBlockStep = 4
 
+	// referenceWarmup is the time for which a new leader observes the old servers before it judges attempts on target servers.
+	referenceWarmup = 2 * time.Second
+
 	// storeRetry is the time after which a failed write is repeated.
 	storeRetry = 200 * time.Millisecond
 
--- a/pkg/rollout/reference.go
+++ b/pkg/rollout/reference.go
@@ -117,7 +117,7 @@
 	if kind == failedResponse {
 		server.failed++
 	} else {
-		route.durations.add(o.Took)
+		route.durations.add(now, o.Took)
 	}
 }
 
--- a/pkg/rollout/sim_test.go
+++ b/pkg/rollout/sim_test.go
@@ -179,7 +179,7 @@
 	}
 	if debugLog != nil && sim.elapsed()%(500*time.Millisecond) < simTick {
 		st := l.controller.Status(now)
-		debugLog("%v %v odds %.2f used %d conf %d paced %.0f bound %.0f resp %d servers %d bad %d open %v left %v drain %v", sim.elapsed(), st.Phase, st.LogOdds, l.controller.exposure.used, l.controller.exposure.confirmed, l.controller.exposure.paced(now), l.controller.exposure.bound(), l.controller.evidence.responses(), l.controller.evidence.servers(), l.controller.bad, l.controller.focus.open, st.TimeLeft, l.controller.drainTime())
+		debugLog("%v %v odds %.2f run %.2f used %d conf %d paced %.0f bound %.0f resp %d servers %d bad %d open %v left %v drain %v", sim.elapsed(), st.Phase, st.LogOdds, l.controller.runningLogOdds, l.controller.exposure.used, l.controller.exposure.confirmed, l.controller.exposure.paced(now), l.controller.exposure.bound(), l.controller.evidence.responses(), l.controller.evidence.servers(), l.controller.bad, l.controller.focus.open, st.TimeLeft, l.controller.drainTime())
 	}
 	if debugLog != nil && sim.elapsed()%(time.Second) < simTick {
 		best := 0
