--- a/cmd/standin/pkg/fleet/rollout_test.go
+++ b/cmd/standin/pkg/fleet/rollout_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/azuretiller/azuretiller/cmd/standin/pkg/backendserver"
+	"github.com/azuretiller/azuretiller/cmd/standin/pkg/keyedstore"
 	"github.com/azuretiller/azuretiller/platform"
 )
 
@@ -127,6 +128,25 @@
 	assert.Len(t, f.RunsOf("v1"), old)
 }
 
+// TestVMsWithoutLeaderExposeNothing guards against VMs that use the new version by their view while the store is away and no VM leads.
+func TestVMsWithoutLeaderExposeNothing(t *testing.T) {
+	ctx, f := startRolloutFleet(t, 3)
+	f.addNewVersion(ctx, t, backendserver.Healthy)
+	defer f.sendReads(ctx, 0, 1, 2)()
+	f.Order("v2", 20*time.Second)
+	eventually(t, "the new version is exposed", func() bool { return len(f.RunsOf("v2")) > 10 })
+	f.Store.SetFaults(keyedstore.Faults{RefuseAll: true})
+	f.Stop(f.leaderIndex(t))
+	time.Sleep(200 * time.Millisecond)
+	exposed := len(f.RunsOf("v2"))
+	time.Sleep(3 * time.Second)
+	assert.Len(t, f.RunsOf("v2"), exposed)
+	f.Store.SetFaults(keyedstore.Faults{})
+	old := len(f.RunsOf("v1"))
+	eventually(t, "a new leader uses the version in use", func() bool { return len(f.RunsOf("v1")) > old+20 })
+	awaitStatus(t, f, "completed")
+}
+
 // TestDeletedOrderIsReverted guards against a target version that stays in use after its order was deleted halfway, and against an order for
 // the same version that does not start anew.
 func TestDeletedOrderIsReverted(t *testing.T) {
--- a/pkg/leader/rollout_run.go
+++ b/pkg/leader/rollout_run.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -235,6 +236,14 @@
 	OldInUse    bool
 }
 
+// finite returns a number that JSON can hold.
+func finite(x float64) float64 {
+	if math.IsNaN(x) {
+		return 0
+	}
+	return max(-math.MaxFloat64, min(math.MaxFloat64, x))
+}
+
 // RolloutStates returns the state of each rollout, for dumps.
 func (l *Leader) RolloutStates(now time.Time) map[azuretiller.ServiceID]RolloutState {
 	states := map[azuretiller.ServiceID]RolloutState{}
@@ -245,6 +254,7 @@
 		}
 		if s.controller != nil {
 			status := s.controller.Status(now)
+			status.LogOdds, status.Progress.LogOdds = finite(status.LogOdds), finite(status.Progress.LogOdds)
 			state.Decision = &status
 			state.OldInUse = l.oldInUse(now, id, s)
 		}
--- a/pkg/leader/rollout_test.go
+++ b/pkg/leader/rollout_test.go
@@ -1,6 +1,7 @@
 package leader
 
 import (
+	"encoding/json"
 	"fmt"
 	"testing"
 	"time"
@@ -257,6 +258,9 @@
 		assert.Equal(t, map[azuretiller.Version]bool{"v1": true}, f.openInViews())
 		f.step()
 	}
+	dump, err := json.Marshal(f.leader.RolloutStates(f.now))
+	require.NoError(t, err)
+	assert.Contains(t, string(dump), `"Phase":"cutover"`)
 	assert.Positive(t, f.placed["v2"])
 	assert.LessOrEqual(t, float64(f.placed["v2"]), 50+0.1*float64(f.placed["v1"]+f.placed["v2"]))
 	f.stepsUntil(azuretiller.RolloutCompleted, 3*time.Second)
