--- a/cmd/standin/pkg/fleet/rollout_test.go
+++ b/cmd/standin/pkg/fleet/rollout_test.go
@@ -15,9 +15,13 @@
 
 	"github.com/azuretiller/azuretiller/cmd/standin/pkg/backendserver"
 	"github.com/azuretiller/azuretiller/cmd/standin/pkg/keyedstore"
+	"github.com/azuretiller/azuretiller/cmd/standin/pkg/operatorconfig"
 	"github.com/azuretiller/azuretiller/platform"
 )
 
+// unlimitedKey is the key of a team without a rate.
+const unlimitedKey = "key-of-unlimited-team"
+
 // rolloutBounds are bounds under which the feature is enabled.
 func rolloutBounds() platform.Bounds {
 	return platform.Bounds{ExposeShare: 0.1, ExposeSlack: 50, Rollback: 5 * time.Second}
@@ -30,6 +34,10 @@
 	if os.Getenv("FLEET_LOG") != "" {
 		f.log = &log.Logger{Handler: logfmt.New(os.Stderr), Level: log.InfoLevel}
 	}
+	f.Configure(func(resources []operatorconfig.Resource) []operatorconfig.Resource {
+		// Without a rate, the loss of the leader that holds all shares of it does not end the load.
+		return append(resources, operatorconfig.Team("unlimited", unlimitedKey, 0, 0))
+	})
 	f.AddVMs(ctx, vms, rolloutBounds())
 	eventually(t, "every VM is ready and knows the others", func() bool {
 		for i := range f.vms {
@@ -44,13 +52,13 @@
 }
 
 // sendReads sends reads through the given VMs, about 150 a second, until the returned function is called.
-func (f *Fleet) sendReads(ctx context.Context, vms ...int) (stop func()) {
+func (f *Fleet) sendReads(ctx context.Context, key string, vms ...int) (stop func()) {
 	ctx, cancel := context.WithCancel(ctx)
 	var group sync.WaitGroup
 	for worker := range 3 {
 		group.Go(func() {
 			for n := 0; ctx.Err() == nil; n++ {
-				f.Request(ctx, vms[n%len(vms)], "GET", "/reads/1", fmt.Sprintf("w%d-%d", worker, n), Key, "")
+				f.Request(ctx, vms[n%len(vms)], "GET", "/reads/1", fmt.Sprintf("w%d-%d", worker, n), key, "")
 				time.Sleep(14 * time.Millisecond)
 			}
 		})
@@ -83,7 +91,7 @@
 // TestGoodVersionIsCompleted guards against requests on the new version before an order, and on the old one after the completion.
 func TestGoodVersionIsCompleted(t *testing.T) {
 	ctx, f := startRolloutFleet(t, 3)
-	defer f.sendReads(ctx, 0, 1, 2)()
+	defer f.sendReads(ctx, unlimitedKey, 0, 1, 2)()
 	f.addNewVersion(ctx, t, backendserver.Healthy)
 	time.Sleep(2 * time.Second)
 	assert.Empty(t, f.RunsOf("v2"), "no order names the version")
@@ -102,7 +110,7 @@
 // TestBadVersionIsReverted guards against a bad version that gets more requests than the bound, or any after it was reverted.
 func TestBadVersionIsReverted(t *testing.T) {
 	ctx, f := startRolloutFleet(t, 3)
-	defer f.sendReads(ctx, 0, 1, 2)()
+	defer f.sendReads(ctx, unlimitedKey, 0, 1, 2)()
 	f.addNewVersion(ctx, t, backendserver.InternalError)
 	f.Order("v2", 12*time.Second)
 	awaitStatus(t, f, "reverted")
@@ -118,7 +126,7 @@
 func TestRolloutOutlivesLeader(t *testing.T) {
 	ctx, f := startRolloutFleet(t, 4)
 	f.addNewVersion(ctx, t, backendserver.Healthy)
-	defer f.sendReads(ctx, 0, 1, 2, 3)()
+	defer f.sendReads(ctx, unlimitedKey, 0, 1, 2, 3)()
 	f.Order("v2", 14*time.Second)
 	eventually(t, "the new version is exposed", func() bool { return len(f.RunsOf("v2")) > 10 })
 	f.Stop(f.leaderIndex(t))
@@ -132,7 +140,7 @@
 func TestVMsWithoutLeaderExposeNothing(t *testing.T) {
 	ctx, f := startRolloutFleet(t, 3)
 	f.addNewVersion(ctx, t, backendserver.Healthy)
-	defer f.sendReads(ctx, 0, 1, 2)()
+	defer f.sendReads(ctx, unlimitedKey, 0, 1, 2)()
 	f.Order("v2", 20*time.Second)
 	eventually(t, "the new version is exposed", func() bool { return len(f.RunsOf("v2")) > 10 })
 	f.Store.SetFaults(keyedstore.Faults{RefuseAll: true})
@@ -152,7 +160,7 @@
 func TestDeletedOrderIsReverted(t *testing.T) {
 	ctx, f := startRolloutFleet(t, 2)
 	f.addNewVersion(ctx, t, backendserver.Healthy)
-	defer f.sendReads(ctx, 0, 1)()
+	defer f.sendReads(ctx, unlimitedKey, 0, 1)()
 	f.Order("v2", 10*time.Second)
 	eventually(t, "the new version is exposed", func() bool { return len(f.RunsOf("v2")) > 5 })
 	f.CancelOrder()
@@ -168,7 +176,7 @@
 // TestUnknownVersionIsUsedWithoutRollouts checks that nothing changes for a deployment without exposeShare.
 func TestUnknownVersionIsUsedWithoutRollouts(t *testing.T) {
 	ctx, f := startFleet(t, 2, 2)
-	defer f.sendReads(ctx, 0, 1)()
+	defer f.sendReads(ctx, Key, 0, 1)()
 	f.addNewVersion(ctx, t, backendserver.Healthy)
 	eventually(t, "the new version is in use", func() bool { return len(f.RunsOf("v2")) > 3 })
 	f.Order("v3", time.Second)
--- a/pkg/leader/rollout_drain.go
+++ b/pkg/leader/rollout_drain.go
@@ -28,8 +28,8 @@
 
 // oldInUse reports whether an attempt may still run on an old server of a service after the cutover, or a VM may still send one there.
 func (l *Leader) oldInUse(now time.Time, id azuretiller.ServiceID, s *serviceRollout) bool {
-	if s.phase() != rollout.Cutover || s.withdrawnIn == 0 || now.Sub(l.startedAt) < heartbeatTimeout {
-		// VMs that this leader does not know yet join it within heartbeatTimeout.
+	if s.phase() != rollout.Cutover || s.withdrawnIn == 0 || now.Sub(l.startedAt) < joinTime {
+		// VMs that this leader does not know from earlier views join it within joinTime.
 		return true
 	}
 	for _, a := range l.runningAttempts {
