--- a/pkg/rollout/controller.go
+++ b/pkg/rollout/controller.go
@@ -47,6 +47,8 @@
 	// runningLogOdds also takes the attempts into account that run, as of runningAt.
 	runningLogOdds float64
 	runningAt      time.Time
+	// suspectSince is when runningLogOdds reached cutoverBadLogOdds, or zero if it is lower.
+	suspectSince time.Time
 	// trusted means that the evidence of the former leader suffices.
 	trusted bool
 	paused  bool
--- a/pkg/rollout/decide.go
+++ b/pkg/rollout/decide.go
@@ -48,6 +48,12 @@
 		running := c.evidence.clone()
 		c.inFlight.outstanding(now, c.weigh(running))
 		c.runningLogOdds = running.logOdds()
+		switch {
+		case c.runningLogOdds < cutoverBadLogOdds:
+			c.suspectSince = time.Time{}
+		case c.suspectSince.IsZero():
+			c.suspectSince = now
+		}
 	}
 	c.exposure.cutoverAt = c.cutoverAt()
 }
@@ -121,7 +127,8 @@
 	if c.wantState == azuretiller.RolloutCompleted {
 		return
 	}
-	if max(c.logOdds, c.runningLogOdds) >= badLogOdds {
+	confirmed := !c.suspectSince.IsZero() && now.Sub(c.suspectSince) >= runningConfirmation
+	if c.logOdds >= cutoverBadLogOdds || confirmed {
 		c.revert("the target version is bad after the cutover")
 		return
 	}
--- a/pkg/rollout/params.go
+++ b/pkg/rollout/params.go
@@ -49,9 +49,14 @@
 	// badLogOdds is the log odds from which the verdict is bad. Under the model of a good version, the odds reach this value
 	// in at most 1 of 1,000 rollouts.
 	badLogOdds = 7
+	// cutoverBadLogOdds is the same after the cutover, when each further request of a bad version exceeds its exposure and much
+	// evidence comes quickly. Attempts that run count only after they have kept the odds there for runningConfirmation, since they
+	// may be those of a lost VM, which the leader has not noticed.
+	cutoverBadLogOdds   = 4.5
+	runningConfirmation = time.Second
 	// goodLogOdds is the log odds up to which the verdict is good, and lateGoodLogOdds the same when no more time is left.
 	goodLogOdds     = -2
-	lateGoodLogOdds = 0.4
+	lateGoodLogOdds = 0.2
 	// completionLogOdds are the log odds up to which a rollout is completed after the cutover when no time is left.
 	completionLogOdds = 1.5
 	// minResponses and minServers are the numbers of responses and of servers without which no verdict is good.
