Try a version that is only guessed to be in use

Change: an order for a version that is only known to have most servers starts a trial if there are servers of another version.

--- a/pkg/leader/rollout_roles.go
+++ b/pkg/leader/rollout_roles.go
@@ -131,7 +131,7 @@
 	}
 	if s := r.services[id]; s != nil {
 		if version := s.currentVersion(); version != "" {
-			r.inUse[id] = versionInUse{version, now}
+			r.inUse[id] = versionInUse{version: version, seenAt: now}
 		}
 		return s.roleOf
 	}
@@ -163,13 +163,15 @@
 	}
 	inherited := slices.DeleteFunc(slices.Clone(servers), func(s scheduler.Server) bool { return !r.inherited[s.ID] })
 	version, found := commonVersion(inherited, "")
-	if !found || ok {
+	guessed := !found || ok
+	if guessed {
 		version, found = commonVersion(servers, excluded)
+		guessed = slices.ContainsFunc(servers, func(s scheduler.Server) bool { return s.Version != version })
 	}
 	if !found {
 		return known.version
 	}
-	r.inUse[id] = versionInUse{version, now}
+	r.inUse[id] = versionInUse{version: version, seenAt: now, guessed: guessed}
 	if ok {
 		r.log("version in use", log.Fields{"service": id, "version": version, "before": known.version})
 	}
--- a/pkg/leader/rollout_test.go
+++ b/pkg/leader/rollout_test.go
@@ -398,6 +398,25 @@
 	assert.Equal(t, []string{"s v2 active", "s v2 reverted", "s v2 active", "s v2 completed"}, f.store.history)
 }
 
+// TestOrderForVersionThatIsGuessedToBeInUse guards against a version that is completed without a trial, since it has most servers and the order is
+// read only later, as after a restore of the store.
+func TestOrderForVersionThatIsGuessedToBeInUse(t *testing.T) {
+	f := newRolloutFleet(t)
+	f.addServers("v2")
+	delete(f.versions, "old-0")
+	f.answer = func(v azuretiller.Version) message.Result {
+		if v == "v2" {
+			return message.Failed
+		}
+		return message.Succeeded
+	}
+	f.steps(time.Second)
+	require.Positive(t, f.placed["v2"], "nothing else is known")
+	f.order("v2", 10*time.Second)
+	f.stepsUntil(azuretiller.RolloutReverted, 10*time.Second)
+	assert.Equal(t, map[azuretiller.Version]int{"v1": 100}, f.placedDuring(time.Second))
+}
+
 // TestTwoServicesAtOnce guards against rollouts of different services that are mixed up, or that keep each other from being stored.
 func TestTwoServicesAtOnce(t *testing.T) {
 	f := newRolloutFleet(t)
--- a/pkg/leader/rollouts.go
+++ b/pkg/leader/rollouts.go
@@ -39,6 +39,8 @@
 	version azuretiller.Version
 	// seenAt is when a server of the version was last registered.
 	seenAt time.Time
+	// guessed means that it was only known to be the version of most servers.
+	guessed bool
 }
 
 // serviceRollout is the rollout of one service: the running one or the last one.
@@ -162,6 +164,9 @@
 	default:
 		// Beside servers of the target version, those of another version are the ones in use.
 		inUse := r.versionInUse(now, order.Service, servers, order.Target)
+		if r.inUse[order.Service].guessed && inUse == order.Target {
+			inUse, _ = commonVersion(servers, order.Target)
+		}
 		if inUse == "" && len(servers) > 0 {
 			inUse = order.Target
 		}
