--- a/pkg/edge/reads.go
+++ b/pkg/edge/reads.go
@@ -86,11 +86,12 @@
 	// time, so that the leader is asked next.
 	zoneFetchFailed bool
 	client          http.Client
-	// rollouts are the stored rollouts that this VM read last without a leader, at lastRolloutsRead, and rolloutsPending means that a read is
-	// running.
+	// rollouts are the stored rollouts that this VM read last without a leader, at lastRolloutsRead. rolloutsPending means that a read is
+	// running, and rolloutsFailing that the last one failed.
 	rollouts         *azuretiller.StoredRollouts
 	lastRolloutsRead time.Time
 	rolloutsPending  bool
+	rolloutsFailing  bool
 	// era is the newest era of the store that this VM has seen; it is unknown until eraKnown.
 	era      azuretiller.Era
 	eraKnown bool
@@ -151,7 +152,7 @@
 	if readsServers && !e.reads.serversPending && !now.Before(e.reads.nextServersRead) {
 		e.reads.serversPending = true
 		if e.leader == nil {
-			e.startRolloutsRead(ctx)
+			e.startRolloutsRead(ctx, now)
 		}
 		e.reads.serversReadStarted = now
 		e.reads.nextServersRead = now.Add(interval)
--- a/pkg/edge/rollouts.go
+++ b/pkg/edge/rollouts.go
@@ -100,7 +100,11 @@
 			e.leader.VMGone(v.address)
 		}
 	case rolloutsResult:
-		e.logRolloutError(v.err, "failed to read rollouts", nil)
+		if !e.reads.rolloutsFailing {
+			// The reads are repeated several times a second.
+			e.logRolloutError(v.err, "failed to read rollouts", nil)
+		}
+		e.reads.rolloutsFailing = v.err != nil
 		switch {
 		case leads(v.term):
 			e.runLeader(e.leader.RolloutsRead(now, v.stored, v.err))
@@ -133,9 +137,9 @@
 	}
 }
 
-// startRolloutsRead reads the stored rollouts for a VM without a leader.
-func (e *Edge) startRolloutsRead(ctx context.Context) {
-	if !e.hasRollouts() || e.reads.rolloutsPending {
+// startRolloutsRead reads the stored rollouts for a VM without a leader, if they matter.
+func (e *Edge) startRolloutsRead(ctx context.Context, now time.Time) {
+	if !e.hasRollouts() || e.reads.rolloutsPending || !e.rolloutsMatter(now) {
 		return
 	}
 	e.reads.rolloutsPending = true
@@ -179,13 +183,31 @@
 	}
 }
 
+// rolloutsMatter reports whether there is an order, or a service whose servers have several versions.
+func (e *Edge) rolloutsMatter(now time.Time) bool {
+	if len(e.registryCache.Orders(now)) > 0 {
+		return true
+	}
+	for _, servers := range e.registryCache.ServersByService(now, e.config) {
+		for _, s := range servers {
+			if s.Version != servers[0].Version {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // restrictOwnServers closes the servers that this VM must not use because of a rollout, among those that it read from the store itself.
 func (e *Edge) restrictOwnServers(now time.Time, servers []message.Server) {
 	if !e.hasRollouts() {
 		return
 	}
 	var stored *azuretiller.StoredRollouts
-	if now.Sub(e.reads.lastRolloutsRead) < maxOwnServersAge {
+	switch {
+	case !e.rolloutsMatter(now):
+		stored = &azuretiller.StoredRollouts{}
+	case now.Sub(e.reads.lastRolloutsRead) < maxOwnServersAge:
 		stored = e.reads.rollouts
 	}
 	inView := map[azuretiller.InstanceID]bool{}
