Require clear odds after many bad responses

Cause: the exposure paused after 45 bad responses, and the cutover then followed from the few responses before.

--- a/pkg/rollout/decide.go
+++ b/pkg/rollout/decide.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"math"
 	"time"
 
 	"github.com/azuretiller/azuretiller"
@@ -149,6 +150,9 @@
 // the responses of a version that is slow or hangs come late.
 func (c *Controller) good(s Servers, threshold float64) bool {
 	sufficient := c.evidence.sufficient(c.focus.count()) || c.trusted
+	if !c.badSince.IsZero() {
+		threshold = min(threshold, trustedLogOdds)
+	}
 	return sufficient && len(s.Target) > 0 && max(c.logOdds, c.runningLogOdds) <= threshold
 }
 
@@ -196,16 +200,17 @@
 	return c.snapshot(now, max(mark, c.exposure.attempted)), true
 }
 
-// snapshot returns the progress to store with a high-water mark of the exposure. Attempts without a result and those that are
-// reserved count as bad, since a successor does not learn their results.
+// snapshot returns the progress to store with a high-water mark of the exposure. A part of the attempts without a result and of
+// those that are reserved counts as bad, since a successor does not learn their results.
 func (c *Controller) snapshot(now time.Time, mark int) azuretiller.RolloutProgress {
 	unknown := c.inFlight.running()
 	if c.phase == Trial {
 		unknown += max(0, mark-c.exposure.used)
 	}
+	badShare := min(1, unknownBadShare+float64(c.bad)/float64(max(1, c.exposure.placed)))
 	return azuretiller.RolloutProgress{
 		Target: c.order.Target, State: c.wantState, Started: c.started, Reserved: mark, Requests: c.exposure.requests,
-		Bad: c.bad + unknown, Cutover: c.wantCutover, Elapsed: now.Sub(c.started), LogOdds: c.logOdds,
+		Bad: c.bad + int(math.Ceil(float64(unknown)*badShare)), Cutover: c.wantCutover, Elapsed: now.Sub(c.started), LogOdds: c.logOdds,
 	}
 }
 
--- a/pkg/rollout/params.go
+++ b/pkg/rollout/params.go
@@ -66,7 +66,7 @@
 	maxStoredLogOdds = 4
 	// trustedStoredLogOdds are the log odds of the predecessor with which a new leader may decide without responses of its own, if at
 	// least trustedReserved attempts were reserved.
-	trustedStoredLogOdds = -0.4
+	trustedStoredLogOdds = -1.8
 	trustedReserved      = 30
 	// runningInterval is the least time between two evaluations that include the attempts that run.
 	runningInterval = 200 * time.Millisecond
@@ -75,10 +75,12 @@
 
 	// badCountLimit is the number of bad responses after which Params.Rollback is counted. The operator counts from the 50th.
 	badCountLimit = 45
+	// unknownBadShare is added to the share of bad responses so far for the estimate of how many attempts without a result are bad.
+	unknownBadShare = 0.3
 	// rollbackMargin is the time before the end of Params.Rollback at which the exposure is paused.
 	rollbackMargin = 1500 * time.Millisecond
 	// trustedLogOdds is the log odds below which the exposure continues although the version had badCountLimit bad responses, as
-	// gray servers may have caused them.
+	// gray servers may have caused them. A good verdict then requires such odds too.
 	trustedLogOdds = -2
 
 	// minVisit is the least number of attempts that a target server gets before the next one is in focus, and visitSurplus how many
