--- a/pkg/leader/rollout_fleet_test.go
+++ b/pkg/leader/rollout_fleet_test.go
@@ -241,4 +241,3 @@
 	}
 	return open
 }
-
