--- a/pkg/leader/rollout_faults_test.go
+++ b/pkg/leader/rollout_faults_test.go
@@ -149,6 +149,33 @@
 	}
 }
 
+// TestNewLeaderHoldsOrderAfterRestore guards against a good version that is reverted because a new leader reads the store before the operator has
+// written the order again, which the copy lacks.
+func TestNewLeaderHoldsOrderAfterRestore(t *testing.T) {
+	for _, returns := range []bool{true, false} {
+		f := newRolloutFleet(t)
+		f.addServers("v2")
+		f.order("v2", 12*time.Second)
+		f.steps(2 * time.Second)
+		order := f.orders["s"]
+		f.orders = map[azuretiller.ServiceID]azuretiller.RecordedOrder{}
+		f.store.stored.NextRecord = azuretiller.Position{Era: 1, Offset: 3}
+		f.store.stored.NextStatus = azuretiller.Position{Era: 1, Offset: 3}
+		f.lead(azuretiller.Term(1).Next(1))
+		f.steps(2 * time.Second)
+		assert.Equal(t, azuretiller.RolloutActive, f.store.stored.Statuses["s"].State)
+		if !returns {
+			f.steps(orderHold)
+			assert.Equal(t, azuretiller.RolloutReverted, f.store.stored.Statuses["s"].State)
+			continue
+		}
+		order.At = azuretiller.Position{Era: 1, Offset: 2}
+		f.orders["s"] = order
+		f.stepsUntil(azuretiller.RolloutCompleted, 9*time.Second)
+		assert.Equal(t, order, f.store.stored.Records["s"].Order)
+	}
+}
+
 // cutOver advances a fleet until the old servers are withdrawn.
 func (f *rolloutFleet) cutOver() {
 	f.addServers("v2")
--- a/pkg/leader/rollouts.go
+++ b/pkg/leader/rollouts.go
@@ -12,6 +12,10 @@
 	"github.com/azuretiller/azuretiller/pkg/scheduler"
 )
 
+// orderHold is how long a new leader continues a rollout without an order after a restore of the store, whose copy may lack it. The operator writes
+// its records again.
+const orderHold = 5 * time.Second
+
 // rollouts is the state of the rollouts of all services.
 type rollouts struct {
 	params rollout.Params
@@ -61,6 +65,8 @@
 	next, sent *azuretiller.RolloutProgress
 	// stored is the progress that the store confirmed, with state zero if it confirmed none.
 	stored azuretiller.RolloutProgress
+	// heldUntil is until when the order counts as in force although the store lacks it.
+	heldUntil time.Time
 	// withdrawnIn is the version of the first view that withdraws the old servers, zero if there is none.
 	withdrawnIn uint64
 	// appliedPhase is the phase with which the roles of the servers were determined.
@@ -138,7 +144,8 @@
 		r.begin(now, order, s.currentVersion(), servers)
 	case ordered:
 		// After a restore of the store, the order has another position.
-		s.order = order
+		s.order, s.heldUntil = order, time.Time{}
+	case now.Before(s.heldUntil):
 	case s.final == 0 && s.stored.State == 0 && s.sent == nil:
 		r.log("rollout deleted", log.Fields{"service": id, "target": s.order.Target, "phase": s.phase()})
 		delete(r.services, id)
@@ -248,6 +255,9 @@
 	record, recorded := r.store.stored.Records[id]
 	status := r.store.stored.Statuses[id]
 	switch {
+	case recorded && record.Invalid == nil && !record.Progress.State.Final() && record.Order.At.Era < r.store.stored.NextRecord.Era:
+		r.resume(record.Order, record)
+		r.services[id].heldUntil = now.Add(orderHold)
 	case recorded && record.Invalid == nil:
 		s := &serviceRollout{order: record.Order, inUse: record.InUse, stored: record.Progress, final: record.Progress.State}
 		r.services[id] = s
