--- a/pkg/rollout/evidence.go
+++ b/pkg/rollout/evidence.go
@@ -80,6 +80,8 @@
 	nextOnset  time.Time
 	prior      float64
 	responses  int
+	// owned are the servers that are not shared with another evidence. It is nil if none is shared.
+	owned map[azuretiller.InstanceID]bool
 	// logGood is the log likelihood of the responses if the version is good.
 	logGood float64
 }
@@ -134,11 +136,15 @@
 // are passed in the order in which they were sent.
 func (e *evidence) observe(server azuretiller.InstanceID, a attempt, normal *routeReference) {
 	e.advance(a.sent)
+	e.own(server)
 	route := e.route(a.route)
 	s := e.servers[server]
 	if s == nil {
 		s = e.newServer(a.sent)
 		e.servers[server] = s
+		if e.owned != nil {
+			e.owned[server] = true
+		}
 	}
 	for len(s.byHypothesis) < len(e.hypotheses) {
 		s.byHypothesis = append(s.byHypothesis, s.good)
@@ -240,16 +246,22 @@
 	return largest + math.Log(sum)
 }
 
-// clone returns a copy that changes independently.
+// clone returns a copy that changes independently. The servers are copied when they change.
 func (e *evidence) clone() *evidence {
 	c := *e
 	c.hypotheses = slices.Clone(e.hypotheses)
 	c.routes = maps.Clone(e.routes)
-	c.servers = make(map[azuretiller.InstanceID]*serverEvidence, len(e.servers))
-	for id, s := range e.servers {
+	c.servers = maps.Clone(e.servers)
+	c.owned = map[azuretiller.InstanceID]bool{}
+	return &c
+}
+
+// own copies a server that the evidence shares with the one that it was cloned from.
+func (e *evidence) own(id azuretiller.InstanceID) {
+	if s := e.servers[id]; e.owned != nil && !e.owned[id] && s != nil {
 		copied := *s
 		copied.byHypothesis = slices.Clone(s.byHypothesis)
-		c.servers[id] = &copied
+		e.servers[id] = &copied
+		e.owned[id] = true
 	}
-	return &c
 }
--- a/pkg/rollout/verdict_test.go
+++ b/pkg/rollout/verdict_test.go
@@ -22,11 +22,34 @@
 	writes, maxWrites                                                    int
 	failures                                                             map[string][]uint64
 	byTrigger                                                            map[faultTrigger][2]int
+	// byGroup counts rollouts and wrong verdicts by the rate of requests and by whether the leader changed.
+	byGroup map[string][2]int
 }
 
 func (t *tallies) fail(kind string, seed uint64) { t.failures[kind] = append(t.failures[kind], seed) }
 
+// slowRate is the rate of requests below which the exposure hardly exceeds the slack.
+const slowRate = 40
+
+// countGroup counts a rollout, which is wrong if its final state is not the right one.
+func (t *tallies) countGroup(c *simConfig, wrong bool) {
+	group := "at least 40 requests/s"
+	if c.rate < slowRate {
+		group = "below 40 requests/s"
+	}
+	if len(c.leaderChanges) > 0 {
+		group += ", with changes of the leader"
+	}
+	counts := t.byGroup[group]
+	counts[0]++
+	if wrong {
+		counts[1]++
+	}
+	t.byGroup[group] = counts
+}
+
 func (t *tallies) add(seed uint64, c *simConfig, r simResult) {
+	t.countGroup(c, c.bad && r.state == azuretiller.RolloutCompleted || !c.bad && r.state == azuretiller.RolloutReverted)
 	t.writes += r.writes
 	t.maxWrites = max(t.maxWrites, r.writes)
 	if r.oldAfterCompletion {
@@ -96,6 +119,14 @@
 	}
 	fmt.Fprintf(&b, "bounds exceeded: exposure %d, rollback %d; old servers in use after the completion: %d\n",
 		t.exposureExceeded, t.rollbackExceeded, t.oldAfterCompletion)
+	groups := make([]string, 0, len(t.byGroup))
+	for group := range t.byGroup {
+		groups = append(groups, group)
+	}
+	sort.Strings(groups)
+	for _, group := range groups {
+		fmt.Fprintf(&b, "wrong verdicts, %s: %s\n", group, share(t.byGroup[group][1], t.byGroup[group][0]))
+	}
 	fmt.Fprintf(&b, "writes of progress: %.1f on average, %d at most\n", float64(t.writes)/float64(max(t.good+t.bad, 1)), t.maxWrites)
 	kinds := make([]string, 0, len(t.failures))
 	for kind := range t.failures {
@@ -123,7 +154,7 @@
 
 // simulateSeeds runs a number of rollouts, two at a time.
 func simulateSeeds(first, count uint64) *tallies {
-	t := &tallies{failures: map[string][]uint64{}, byTrigger: map[faultTrigger][2]int{}}
+	t := &tallies{failures: map[string][]uint64{}, byTrigger: map[faultTrigger][2]int{}, byGroup: map[string][2]int{}}
 	var lock sync.Mutex
 	var group sync.WaitGroup
 	for worker := range uint64(2) {
