--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 LINT := bin/golangci-lint-$(LINT_VERSION)
 MODULES := . cmd/azuretiller cmd/standin cmd/tillerctl
 
-.PHONY: chaos known-red check-words demo test build lint format generate check-generated bench capacity soak
+.PHONY: chaos rollouts known-red check-words demo test build lint format generate check-generated bench capacity soak
 
 demo: build
 	bin/standin demo $(DEMO)
@@ -61,6 +61,10 @@
 soak:
 	SOAK_SEED=$(SEED) SOAK_CHECKS=$(CHECKS) go test -count=1 -timeout 3h ./pkg/leasebucket ./pkg/fairqueue ./pkg/rateshare ./pkg/pool ./pkg/control
 
+# The same as chaos while a version is rolled out: make rollouts SEED=7 RUNS=50
+rollouts: build
+	bin/standin soak --rollouts --seed $(SEED) --seeds $(RUNS)
+
 # Runs azuretiller as separate processes and injects faults: make chaos SEED=7 RUNS=50
 RUNS ?= 1
 # Violations of the soak that are listed in KNOWN-RED.txt: make chaos KNOWN= fails on them too.
--- a/pkg/leader/rollouts.go
+++ b/pkg/leader/rollouts.go
@@ -209,6 +209,9 @@
 	}
 	s.controller = rollout.New(now, r.params, order.RolloutOrder, azuretiller.RolloutProgress{})
 	r.log("rollout accepted", fields)
+	if fields["target_servers"] == 0 {
+		r.log("rollout without servers", log.Fields{"service": order.Service, "target": order.Target, "service_known": len(servers) > 0})
+	}
 }
 
 // resume continues the rollout of an order that a former leader has accepted. Its progress is first written again, so that the former leader
