--- a/pkg/rollout/controller.go
+++ b/pkg/rollout/controller.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"slices"
 	"time"
 
 	"github.com/azuretiller/azuretiller"
@@ -30,6 +31,9 @@
 	reference *reference
 	evidence  *weighedEvidence
 	inFlight  *inFlight
+	// history is the evidence to be stored. The first inherited attempts of it are those of former leaders that have not been judged.
+	history   []azuretiller.RolloutAttempt
+	inherited int
 	// bad counts the bad responses, including those that former leaders stored. badSince is when they reached badCountLimit.
 	bad      int
 	badSince time.Time
@@ -49,6 +53,8 @@
 	runningAt      time.Time
 	// suspectSince is when runningLogOdds reached cutoverBadLogOdds, or zero if it is lower.
 	suspectSince time.Time
+	// storedLogOdds is what the former leader stored. It applies until its attempts have been judged again.
+	storedLogOdds float64
 	// trusted means that the evidence of the former leader suffices.
 	trusted bool
 	paused  bool
@@ -67,13 +73,17 @@
 	if latest := now.Add(-stored.Elapsed); started.After(latest) {
 		started = latest
 	}
+	prior := 0.0
+	if len(stored.Attempts) == 0 {
+		prior = min(maxStoredLogOdds, max(-maxStoredLogOdds, stored.LogOdds))
+	}
 	c := &Controller{
 		params: p, order: order, phase: Trial, started: started, created: now, deadline: started.Add(order.Duration),
 		focus: newFocus(), reference: newReference(), inFlight: newInFlight(),
-		evidence: newWeighedEvidence(now, min(maxStoredLogOdds, max(-maxStoredLogOdds, stored.LogOdds))),
-		bad:      stored.Bad, state: stored.State, wantState: azuretiller.RolloutActive, cutover: stored.Cutover, wantCutover: stored.Cutover,
+		evidence: newWeighedEvidence(started, prior), history: slices.Clone(stored.Attempts), inherited: len(stored.Attempts),
+		bad: stored.Bad, state: stored.State, wantState: azuretiller.RolloutActive, cutover: stored.Cutover, wantCutover: stored.Cutover,
 		logOdds: stored.LogOdds, runningLogOdds: stored.LogOdds,
-		trusted: stored.LogOdds <= trustedStoredLogOdds && stored.Reserved >= trustedReserved,
+		storedLogOdds: stored.LogOdds, trusted: stored.LogOdds <= trustedStoredLogOdds && stored.Reserved >= trustedReserved,
 	}
 	c.exposure = exposure{
 		params: p, started: started, requests: stored.Requests, countedSince: now,
@@ -158,7 +168,7 @@
 	}
 	if !known {
 		// A former leader placed the attempt.
-		c.weigh(c.evidence)(o.Server, result)
+		c.record(o.Server, result)
 	}
 }
 
@@ -170,6 +180,37 @@
 	}
 }
 
+// record takes a judged attempt into account and keeps it for a successor.
+func (c *Controller) record(server azuretiller.InstanceID, a attempt) {
+	if !a.kind.evidence() {
+		return
+	}
+	c.weigh(c.evidence)(server, a)
+	c.history = append(c.history, azuretiller.RolloutAttempt{
+		Route: a.route, Server: server, Sent: a.sent.Sub(c.started), Took: a.took,
+		Failed: a.kind == failedResponse, Overdue: a.kind == overdueResponse,
+	})
+	if surplus := len(c.history) - storedAttempts; surplus > 0 {
+		c.history = slices.Delete(c.history, 0, surplus)
+	}
+}
+
+// judgeInherited takes the attempts of former leaders into account, compared with what this leader knows of the old servers.
+func (c *Controller) judgeInherited() {
+	for _, a := range c.history[:c.inherited] {
+		kind := goodResponse
+		switch {
+		case a.Failed:
+			kind = failedResponse
+		case a.Overdue:
+			kind = overdueResponse
+		}
+		c.weigh(c.evidence)(a.Server, attempt{route: a.Route, sent: c.started.Add(a.Sent), took: a.Took, kind: kind})
+	}
+	c.inherited = 0
+	c.trusted = c.trusted && len(c.history) == 0
+}
+
 // weigh returns a function that takes a judged attempt into account.
 func (c *Controller) weigh(e *weighedEvidence) func(azuretiller.InstanceID, attempt) {
 	return func(server azuretiller.InstanceID, a attempt) {
@@ -200,7 +241,8 @@
 	limit := func(route azuretiller.RouteID) time.Duration { return max(overdueAfter, c.overdueLimit(route)) }
 	c.inFlight.judgeOverdue(now, limit, func(server azuretiller.InstanceID) { c.countBad(now, server) })
 	if now.Sub(c.created) >= referenceWarmup {
-		c.inFlight.take(c.weigh(c.evidence))
+		c.judgeInherited()
+		c.inFlight.take(c.record)
 	}
 }
 
--- a/pkg/rollout/decide.go
+++ b/pkg/rollout/decide.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/azuretiller/azuretiller"
@@ -56,6 +57,9 @@
 			c.suspectSince = now
 		}
 	}
+	if c.inherited > 0 {
+		c.logOdds, c.runningLogOdds = c.storedLogOdds, c.storedLogOdds
+	}
 	c.exposure.cutoverAt = c.cutoverAt()
 }
 
@@ -211,6 +215,7 @@
 	return azuretiller.RolloutProgress{
 		Target: c.order.Target, State: c.wantState, Started: c.started, Reserved: mark, Requests: c.exposure.requests,
 		Bad: c.bad + int(math.Ceil(float64(unknown)*badShare)), Cutover: c.wantCutover, Elapsed: now.Sub(c.started), LogOdds: c.logOdds,
+		Attempts: slices.Clone(c.history),
 	}
 }
 
--- a/pkg/rollout/params.go
+++ b/pkg/rollout/params.go
@@ -30,6 +30,9 @@
 	// referenceWarmup is the time for which a new leader observes the old servers before it judges attempts on target servers.
 	referenceWarmup = 2 * time.Second
 
+	// storedAttempts is the largest number of attempts that are stored as evidence for a new leader.
+	storedAttempts = 120
+
 	// storeRetry is the time after which a failed write is repeated.
 	storeRetry = 200 * time.Millisecond
 
--- a/rollout_progress.go
+++ b/rollout_progress.go
@@ -22,4 +22,6 @@
 	Elapsed time.Duration
 	// LogOdds is the natural logarithm of the odds that the target version is bad, as known when the progress was written.
 	LogOdds float64
+	// Attempts are the newest attempts that were evidence, in the order in which they were judged. Their number is limited.
+	Attempts []RolloutAttempt
 }
