--- a/pkg/rollout/sim_request_test.go
+++ b/pkg/rollout/sim_request_test.go
@@ -90,6 +90,9 @@
 			sim.result.exposed++
 		}
 		sim.result.lastSent = sim.elapsed()
+		if !sim.stored.Cutover && sim.result.exposureExceeded() {
+			sim.result.trialExceeded = true
+		}
 	} else {
 		sim.oldRunning++
 	}
