Keep a version out that was reverted before a restore of the store

Change: a new leader ends such a rollout if the former leader's view withdraws the target version, and the record is of an earlier era.

--- a/pkg/leader/rollout_run.go
+++ b/pkg/leader/rollout_run.go
@@ -21,9 +21,11 @@
 // InheritServers sets the servers of the view of the former leader, which are used until the first call of SetServers.
 func (l *Leader) InheritServers(now time.Time, servers []message.Server, services map[azuretiller.ServiceID][]scheduler.Server) []Effect {
 	l.rollouts.inherited = map[azuretiller.InstanceID]bool{}
+	l.rollouts.withdrawnBefore = map[azuretiller.InstanceID]bool{}
 	l.inheritedUses = map[azuretiller.InstanceID]message.RolloutUse{}
 	for _, s := range servers {
 		l.rollouts.inherited[s.ID] = !s.Closed
+		l.rollouts.withdrawnBefore[s.ID] = s.Rollout == message.Withdrawn
 		l.inheritedUses[s.ID] = s.Rollout
 	}
 	l.registered = services
--- a/pkg/leader/rollout_store.go
+++ b/pkg/leader/rollout_store.go
@@ -134,7 +134,7 @@
 	switch {
 	case s.stored.State == 0 && same && found.Term < r.term:
 		// A former leader has accepted the order as well.
-		r.resume(s.order, found)
+		r.resume(now, s.order, found, nil)
 	case s.stored.State != 0 && s.order.At.Offset > 0 && s.next == nil && (!same || !sameProgress(found.Progress, s.stored)):
 		// The store came back from a copy without the last record.
 		progress := s.stored
--- a/pkg/leader/rollouts.go
+++ b/pkg/leader/rollouts.go
@@ -27,6 +27,8 @@
 	services    map[azuretiller.ServiceID]*serviceRollout
 	// inherited holds the servers that were in use according to the view of the former leader.
 	inherited map[azuretiller.InstanceID]bool
+	// withdrawnBefore holds the servers that this view withdrew.
+	withdrawnBefore map[azuretiller.InstanceID]bool
 	// inUse are the versions in use of services without a rollout.
 	inUse map[azuretiller.ServiceID]versionInUse
 	roles serverRoles
@@ -161,7 +163,7 @@
 	status := r.store.stored.Statuses[order.Service]
 	switch {
 	case recorded && record.Invalid == nil && record.Order.Same(order):
-		r.resume(order, record)
+		r.resume(now, order, record, servers)
 	case recorded && record.Invalid == nil:
 		r.begin(now, order, versionAfter(record), servers)
 	case recorded, status.State != 0 && status.Target == order.Target:
@@ -216,7 +218,7 @@
 
 // resume continues the rollout of an order that a former leader has accepted. Its progress is first written again, so that the former leader
 // cannot write any more, and nothing is exposed before.
-func (r *rollouts) resume(order azuretiller.RecordedOrder, record azuretiller.RolloutRecord) {
+func (r *rollouts) resume(now time.Time, order azuretiller.RecordedOrder, record azuretiller.RolloutRecord, servers []scheduler.Server) {
 	s := &serviceRollout{order: order, inUse: record.InUse, stored: record.Progress}
 	r.services[order.Service] = s
 	switch {
@@ -224,6 +226,8 @@
 		s.final = record.Progress.State
 	case record.InUse == order.Target:
 		s.targetInUse = true
+	case r.revertedBefore(order, record, servers):
+		s.end(now, azuretiller.RolloutReverted)
 	default:
 		progress := record.Progress
 		s.resumed, s.next = &progress, &progress
@@ -234,6 +238,15 @@
 	})
 }
 
+// revertedBefore reports whether the former leader had reverted a rollout, as its view shows, although the record does not say so: the store came back
+// from a copy that lacks the newer record.
+func (r *rollouts) revertedBefore(order azuretiller.RecordedOrder, record azuretiller.RolloutRecord, servers []scheduler.Server) bool {
+	if record.Term.Era() >= r.store.stored.NextRecord.Era {
+		return false
+	}
+	return slices.ContainsFunc(servers, func(s scheduler.Server) bool { return s.Version == order.Target && r.withdrawnBefore[s.ID] })
+}
+
 // endWithoutProgress ends the rollout of an order whose progress is unreadable or missing although a status of the target was written. Nothing
 // can be exposed, since it is unknown how much was. A final status holds.
 func (r *rollouts) endWithoutProgress(now time.Time, order azuretiller.RecordedOrder, record azuretiller.RolloutRecord, status azuretiller.RolloutStatus, servers []scheduler.Server) {
@@ -259,7 +272,7 @@
 	status := r.store.stored.Statuses[id]
 	switch {
 	case recorded && record.Invalid == nil && !record.Progress.State.Final() && record.Order.At.Era < r.store.stored.NextRecord.Era:
-		r.resume(record.Order, record)
+		r.resume(now, record.Order, record, servers)
 		r.services[id].heldUntil = now.Add(orderHold)
 	case recorded && record.Invalid == nil:
 		s := &serviceRollout{order: record.Order, inUse: record.InUse, stored: record.Progress, final: record.Progress.State}
