Keep a completed rollout completed after a restore of the store

Cause: after a restore from a copy in which the rollout is active, and the loss of the leader, a completed version would be on trial again without old servers. Change: the former leader's view tells both final states.

--- a/pkg/leader/rollout_faults_test.go
+++ b/pkg/leader/rollout_faults_test.go
@@ -176,36 +176,36 @@
 	}
 }
 
-// TestRevertedVersionStaysOutAfterRestore guards against a bad version that is exposed again because the store came back from a copy in which the
-// rollout is still active, and the leader that had reverted it is lost too.
-func TestRevertedVersionStaysOutAfterRestore(t *testing.T) {
-	f := newRolloutFleet(t)
-	f.answer = func(v azuretiller.Version) message.Result {
-		if v == "v2" {
-			return message.Failed
+// TestFinalStateOutlivesRestore guards against a bad version that is exposed again, or a completed one that is on trial without old servers, because
+// the store came back from a copy in which the rollout is still active, and the leader is lost too.
+func TestFinalStateOutlivesRestore(t *testing.T) {
+	for _, c := range []struct {
+		state  azuretiller.RolloutState
+		result message.Result
+		open   azuretiller.Version
+	}{{azuretiller.RolloutReverted, message.Failed, "v1"}, {azuretiller.RolloutCompleted, message.Succeeded, "v2"}} {
+		f := newRolloutFleet(t)
+		f.answer = func(v azuretiller.Version) message.Result {
+			if v == "v2" {
+				return c.result
+			}
+			return message.Succeeded
 		}
-		return message.Succeeded
-	}
-	f.addServers("v2")
-	f.order("v2", 12*time.Second)
-	f.stepsUntil(azuretiller.RolloutActive, time.Second)
-	copied := f.store.read()
-	f.stepsUntil(azuretiller.RolloutReverted, 10*time.Second)
-	f.steps(time.Second)
-	copied.NextRecord.Era, copied.NextStatus.Era = 1, 1
-	f.store.stored = copied
-	order := f.orders["s"]
-	order.At.Era = 1
-	f.orders["s"] = order
-	view := f.views[f.vms[0]]
-	f.lead(azuretiller.Term(1).Next(1))
-	services := map[azuretiller.ServiceID][]scheduler.Server{}
-	for _, s := range view.Servers {
-		services[s.Service] = append(services[s.Service], scheduler.Server{ID: s.ID, Address: s.Address, Slots: s.Slots, Closed: s.Closed})
+		f.addServers("v2")
+		f.order("v2", 12*time.Second)
+		f.stepsUntil(azuretiller.RolloutActive, time.Second)
+		copied := f.store.read()
+		f.stepsUntil(c.state, 12*time.Second)
+		f.steps(time.Second)
+		copied.NextRecord.Era, copied.NextStatus.Era = 1, 1
+		f.store.stored = copied
+		order := f.orders["s"]
+		order.At.Era = 1
+		f.orders["s"] = order
+		f.inherit(azuretiller.Term(1).Next(1))
+		assert.Equal(t, map[azuretiller.Version]int{c.open: 300}, f.placedDuring(3*time.Second))
+		assert.Equal(t, c.state, f.store.stored.Statuses["s"].State)
 	}
-	f.leader.InheritServers(f.now, view.Servers, services)
-	assert.Zero(t, f.placedDuring(3 * time.Second)["v2"])
-	assert.Equal(t, azuretiller.RolloutReverted, f.store.stored.Statuses["s"].State)
 }
 
 // cutOver advances a fleet until the old servers are withdrawn.
@@ -339,13 +339,7 @@
 	f.addServers("v2")
 	f.versions["v2-more"] = "v2"
 	f.steps(time.Second)
-	view := f.views[f.vms[0]]
-	f.lead(2)
-	services := map[azuretiller.ServiceID][]scheduler.Server{}
-	for _, s := range view.Servers {
-		services[s.Service] = append(services[s.Service], scheduler.Server{ID: s.ID, Address: s.Address, Slots: s.Slots, Closed: s.Closed})
-	}
-	f.leader.InheritServers(f.now, view.Servers, services)
+	f.inherit(2)
 	f.request(f.vms[0])
 	f.store.away = true
 	placed := f.placedDuring(time.Second)
--- a/pkg/leader/rollout_fleet_test.go
+++ b/pkg/leader/rollout_fleet_test.go
@@ -241,3 +241,14 @@
 	}
 	return open
 }
+
+// inherit makes a new leader of a term that has the newest view of the former one.
+func (f *rolloutFleet) inherit(term azuretiller.Term) {
+	view := f.views[f.vms[0]]
+	f.lead(term)
+	services := map[azuretiller.ServiceID][]scheduler.Server{}
+	for _, s := range view.Servers {
+		services[s.Service] = append(services[s.Service], scheduler.Server{ID: s.ID, Address: s.Address, Slots: s.Slots, Closed: s.Closed})
+	}
+	f.run(f.leader.InheritServers(f.now, view.Servers, services))
+}
--- a/pkg/leader/rollouts.go
+++ b/pkg/leader/rollouts.go
@@ -226,8 +226,8 @@
 		s.final = record.Progress.State
 	case record.InUse == order.Target:
 		s.targetInUse = true
-	case r.revertedBefore(order, record, servers):
-		s.end(now, azuretiller.RolloutReverted)
+	case r.endedBefore(order, record, servers) != 0:
+		s.end(now, r.endedBefore(order, record, servers))
 	default:
 		progress := record.Progress
 		s.resumed, s.next = &progress, &progress
@@ -238,13 +238,23 @@
 	})
 }
 
-// revertedBefore reports whether the former leader had reverted a rollout, as its view shows, although the record does not say so: the store came back
-// from a copy that lacks the newer record.
-func (r *rollouts) revertedBefore(order azuretiller.RecordedOrder, record azuretiller.RolloutRecord, servers []scheduler.Server) bool {
+// endedBefore returns the final state that the former leader had determined, as its view shows, although the record is that of an active rollout: the
+// store came back from a copy that lacks the newer record. Views withdraw servers of the target version only after a rollout was reverted, and open
+// them only after it was completed.
+func (r *rollouts) endedBefore(order azuretiller.RecordedOrder, record azuretiller.RolloutRecord, servers []scheduler.Server) azuretiller.RolloutState {
 	if record.Term.Era() >= r.store.stored.NextRecord.Era {
-		return false
+		return 0
+	}
+	for _, s := range servers {
+		switch {
+		case s.Version != order.Target:
+		case r.withdrawnBefore[s.ID]:
+			return azuretiller.RolloutReverted
+		case r.inherited[s.ID]:
+			return azuretiller.RolloutCompleted
+		}
 	}
-	return slices.ContainsFunc(servers, func(s scheduler.Server) bool { return s.Version == order.Target && r.withdrawnBefore[s.ID] })
+	return 0
 }
 
 // endWithoutProgress ends the rollout of an order whose progress is unreadable or missing although a status of the target was written. Nothing
