Complete a rollout only if the evidence is clearly in favour of it

Cause: a bad version that is completed exceeds its exposure and misses its obligation, while a good one that is reverted only misses its obligation.

--- a/pkg/rollout/params.go
+++ b/pkg/rollout/params.go
@@ -59,7 +59,7 @@
 	runningConfirmation = time.Second
 	// goodLogOdds is the log odds up to which the verdict is good, and lateGoodLogOdds the same when no more time is left.
 	goodLogOdds     = -2
-	lateGoodLogOdds = 0.2
+	lateGoodLogOdds = -0.5
 	// completionLogOdds are the log odds up to which a rollout is completed after the cutover when no time is left.
 	completionLogOdds = 1.5
 	// minResponses and minServers are the numbers of responses and of servers without which no verdict is good.
--- a/pkg/rollout/sim_test.go
+++ b/pkg/rollout/sim_test.go
@@ -158,7 +158,7 @@
 
 func (sim *simulation) tick(l *simLeader) {
 	now := sim.schedule.Now()
-	if l != sim.leader && !(l == sim.former && now.Before(sim.formerUntil)) {
+	if l != sim.leader && (l != sim.former || !now.Before(sim.formerUntil)) {
 		return
 	}
 	s := Servers{OldInUse: sim.oldRunning > 0 || sim.cutoverAt.IsZero() || now.Before(sim.cutoverAt.Add(sim.confirmView))}
--- a/pkg/rollout/weighed.go
+++ b/pkg/rollout/weighed.go
@@ -80,7 +80,7 @@
 		s := w.shares[i]
 		likelihood := math.Log(weight) + s.logGood
 		good = logSum(good, likelihood)
-		bad = logSum(bad, likelihood+s.evidence.logOdds())
+		bad = logSum(bad, likelihood+s.logOdds())
 	}
 	return bad - good
 }
@@ -101,7 +101,7 @@
 	c := &weighedEvidence{}
 	for _, s := range w.shares {
 		copied := *s
-		copied.evidence = s.evidence.clone()
+		copied.evidence = s.clone()
 		c.shares = append(c.shares, &copied)
 	}
 	return c
@@ -119,8 +119,8 @@
 }
 
 // responses and servers return the numbers of responses and of servers that were taken into account.
-func (w *weighedEvidence) responses() int { return w.shares[0].evidence.responses }
-func (w *weighedEvidence) servers() int   { return len(w.shares[0].evidence.servers) }
+func (w *weighedEvidence) responses() int { return w.shares[0].responses }
+func (w *weighedEvidence) servers() int   { return len(w.shares[0].servers) }
 
 // sufficient reports whether there are enough responses for a good verdict, and enough servers in proportion to all of them.
 func (w *weighedEvidence) sufficient(servers int) bool {
