--- a/pkg/registrycache/orders_test.go
+++ b/pkg/registrycache/orders_test.go
@@ -27,7 +27,9 @@
 func TestOrdersFollowChanges(t *testing.T) {
 	cache := New(time.Second)
 	now := time.Unix(1_000_000, 0)
-	at := func(offset azuretiller.Offset) azuretiller.Position { return azuretiller.Position{Era: 1, Offset: offset} }
+	at := func(offset azuretiller.Offset) azuretiller.Position {
+		return azuretiller.Position{Era: 1, Offset: offset}
+	}
 	apply := func(complete bool, next azuretiller.Offset, changes ...azuretiller.SettingsChange) {
 		cache.ApplySettings(now, azuretiller.SettingsPage{Complete: complete, Next: at(next), Changes: changes})
 	}
