--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -19,6 +19,9 @@
 	leaving bool
 	// configRevision is the revision of the newest configuration of this VM.
 	configRevision uint64
+	// drainedTerm and drainedView identify the newest view for which no attempt runs on a server that it withdraws.
+	drainedTerm azuretiller.Term
+	drainedView uint64
 
 	term azuretiller.Term
 	// formerEra is the era of the terms before eraSince.
@@ -67,6 +70,8 @@
 	knownToLeader bool
 	// strongerVMs is how many VMs that could lead have more CPU capacity than this one, by the last answer of a leader.
 	strongerVMs int
+	// renewedAt is when the last heartbeat that the leader answered was sent, by the clock of holder.
+	renewedAt time.Duration
 	// heartbeatSenders maps the host:port of each VM that sends heartbeats to this one, although it does not lead, to the time of
 	// the last one.
 	heartbeatSenders map[string]time.Time
@@ -143,6 +148,12 @@
 	return now.Sub(m.leaderAnsweredAt)
 }
 
+// ViewLeaseAge returns the time since this VM sent the last heartbeat that a leader answered. Unlike the time since the answer, the leader
+// cannot take it for longer than it is, however late the answer was handled.
+func (m *Member) ViewLeaseAge(now time.Time) time.Duration {
+	return m.holder.Clock(now) - m.renewedAt
+}
+
 // HeldShare returns the share of the teams' rates that this VM holds, and the sum of the shares of the VMs before it.
 func (m *Member) HeldShare(now time.Time) (share, offset azuretiller.RateShare) {
 	return m.holder.Held(now), m.holder.Offset()
@@ -157,6 +168,11 @@
 	m.configRevision = configRevision
 }
 
+// SetDrained records that no attempt of this VM runs on a server that a version of the view withdraws.
+func (m *Member) SetDrained(term azuretiller.Term, version uint64) {
+	m.drainedTerm, m.drainedView = term, version
+}
+
 // Leave marks this VM as leaving and tells the leader without waiting for the next heartbeat.
 func (m *Member) Leave(now time.Time) []Effect {
 	m.leaving = true
@@ -207,6 +223,9 @@
 		ViewVersion:    m.viewVersion(),
 		ConfigRevision: m.configRevision,
 	}
+	if m.drainedTerm == m.term {
+		hb.DrainedView = m.drainedView
+	}
 	m.holder.Fill(now, &hb)
 	if !m.knownToLeader {
 		hb.VM, hb.Zone, hb.CallerAddress, hb.CPUPercent = m.self.ID, m.self.Zone, m.self.CallerAddress, m.self.CPUPercent
