Judge a version only by routes that the old servers serve as well

Durations up to 20 ms count as equal. A route is exposed only after three responses of old servers, and the old servers get at least as many of its requests as the target servers; few failures are enough to know that a route fails on the old servers too.

--- a/pkg/rollout/controller.go
+++ b/pkg/rollout/controller.go
@@ -127,6 +127,7 @@
 	if c.phase != Completed {
 		c.inFlight.add(now, route, server)
 		c.focus.place(now, route, server)
+		c.reference.route(route).exposed++
 	}
 	return true
 }
@@ -144,7 +145,7 @@
 		return false
 	}
 	available := c.exposure.available(now)
-	return available > 0 && !c.reference.shedding(now) &&
+	return available > 0 && !c.reference.shedding(now) && c.reference.allows(route) &&
 		c.focus.allows(route, server, available, c.exposure.visitSize(), len(c.reference.routes))
 }
 
--- a/pkg/rollout/controller_test.go
+++ b/pkg/rollout/controller_test.go
@@ -50,10 +50,19 @@
 	return count
 }
 
+// observeOld reports results of attempts on old servers, without which no route is exposed.
+func observeOld(c *Controller, now time.Time, route azuretiller.RouteID, result message.Result, took time.Duration, count int) {
+	for i := range count {
+		c.CountRequest(now)
+		c.Observe(now, Outcome{Route: route, Server: testServers().Old[i%3].ID, Result: result, Took: took})
+	}
+}
+
 // Guards against attempts that no stored block covers.
 func TestNoExposureBeforeABlockIsStored(t *testing.T) {
 	now := simStart()
 	c := New(now, simParams(), testOrder(), azuretiller.RolloutProgress{})
+	observeOld(c, now, testRoute, message.Succeeded, 100*time.Millisecond, 100)
 	p, ok := written(c.Tick(now, testServers()))
 	require.True(t, ok)
 	require.Zero(t, exposeAll(c, now))
@@ -78,6 +87,10 @@
 	now := simStart()
 	stored := azuretiller.RolloutProgress{Target: simTarget, State: azuretiller.RolloutActive, Started: now, Reserved: 47, Requests: 0}
 	c := New(now.Add(time.Second), simParams(), testOrder(), stored)
+	// Results without CountRequest do not raise the bound.
+	for range 100 {
+		c.Observe(now, Outcome{Route: testRoute, Server: testServers().Old[0].ID, Result: message.Succeeded, Took: 100 * time.Millisecond})
+	}
 	for i := range 100 {
 		at := now.Add(time.Second + time.Duration(i)*50*time.Millisecond)
 		if p, ok := written(c.Tick(at, testServers())); ok {
--- a/pkg/rollout/durations.go
+++ b/pkg/rollout/durations.go
@@ -16,6 +16,9 @@
 	densityBins     = 120
 	densityBinWidth = 0.1
 	densityLow      = time.Millisecond
+	// leastDuration is the duration up to which all count as equal, since links between zones and new connections make up a large part of
+	// shorter ones.
+	leastDuration = 20 * time.Millisecond
 	// bandwidthFactor scales the standard deviation of the kernel by which the histogram is smoothed (the rule of Silverman), and
 	// minBandwidth is the smallest one.
 	bandwidthFactor = 1.06
@@ -120,7 +123,7 @@
 }
 
 func binPosition(took time.Duration) float64 {
-	return math.Log(float64(max(took, densityLow))/float64(densityLow)) / densityBinWidth
+	return math.Log(float64(max(took, leastDuration))/float64(densityLow)) / densityBinWidth
 }
 
 // known reports whether there are enough durations.
--- a/pkg/rollout/reference.go
+++ b/pkg/rollout/reference.go
@@ -30,6 +30,13 @@
 	// slowQuantile is the least share of the responses of the old servers that are not slow.
 	slowQuantile = 0.93
 	slowOffset   = 30 * time.Millisecond
+	// minRouteResponses is the number of responses of old servers on a route from which it is exposed. Without them, a route on which all
+	// requests fail, whatever the version, would look like a fault of the target version.
+	minRouteResponses = 3
+	// failingShare is the share of failures from which few responses are enough to know that a route fails on the old servers too, and
+	// failingPriorResponses the number of responses that priorFailureRate is worth then.
+	failingShare          = 0.5
+	failingPriorResponses = 2
 	// minTally is the decayed number of responses of a server below which it does not count.
 	minTally = 0.2
 	// shedMemory is the time in which the counts of shed attempts decay to 1/e.
@@ -51,8 +58,10 @@
 	threshold time.Duration
 	// failureRate is that of healthy old servers.
 	failureRate float64
-	servers     []*serverTally
-	byID        map[azuretiller.InstanceID]*serverTally
+	// responses counts those of old servers, and exposed the attempts on target servers.
+	responses, exposed int
+	servers            []*serverTally
+	byID               map[azuretiller.InstanceID]*serverTally
 }
 
 type serverTally struct {
@@ -112,6 +121,7 @@
 		route.byID[o.Server] = server
 		route.servers = append(route.servers, server)
 	}
+	route.responses++
 	server.decay(now, referenceMemory)
 	server.count++
 	if kind == failedResponse {
@@ -144,7 +154,11 @@
 		total.count += s.count
 		total.failed += s.failed
 	}
-	whole := (total.failed + priorFailureRate*priorResponses) / (total.count + priorResponses)
+	prior := float64(priorResponses)
+	if total.failed > failingShare*total.count {
+		prior = failingPriorResponses
+	}
+	whole := (total.failed + priorFailureRate*prior) / (total.count + prior)
 	if whole >= wholeFailureRate {
 		route.failureRate = whole
 		return
@@ -158,6 +172,12 @@
 	route.failureRate = max(minFailureRate, (kept.failed+priorFailureRate*priorResponses)/(kept.count+priorResponses))
 }
 
+// allows reports whether a further attempt on a route may go to a target server: the old servers get at least as many.
+func (r *reference) allows(id azuretiller.RouteID) bool {
+	route := r.routes[id]
+	return route != nil && route.responses >= minRouteResponses && route.exposed < route.responses
+}
+
 // removeServers forgets old servers that no longer exist.
 func (r *reference) removeServers(exists map[azuretiller.InstanceID]bool) {
 	for _, route := range r.routes {
