Keep three quarters of the recovered servers in use, as the operators require 0.7

Cause: only 0.6 of the servers whose last failure was 2 to 4 s ago, together with the healthy ones, were kept in use, while the operators count a server as sound 2 s after its failure and require 0.7.

--- a/pkg/scheduler/params.go
+++ b/pkg/scheduler/params.go
@@ -110,8 +110,8 @@
 	// minHealthyCoverage is the share of the healthy servers that is kept in use. The operators require 0.7.
 	minHealthyCoverage = 0.9
 	// minRecoveredCoverage is the share that is kept in use of the healthy servers and of those whose last failure was between
-	// recoveredAfter and healthyAfter ago.
-	minRecoveredCoverage = 0.6
+	// recoveredAfter and healthyAfter ago. The operators require 0.7 of both together.
+	minRecoveredCoverage = 0.75
 	// coverageBonus raises the score of a server without a request in coverageWindow while more servers must be in use.
 	coverageBonus = 0.6
 )
