--- a/pkg/edge/control.go
+++ b/pkg/edge/control.go
@@ -293,7 +293,10 @@
 func (e *Edge) params() leader.Params {
 	b := e.processSettings.Bounds
 	return leader.Params{
-		Scheduler:     scheduler.Params{RetryRatio: b.RetryRatio, RetrySlack: b.RetrySlack, CrossZoneCost: crossZoneCost, CrossZoneCostPerKiB: crossZoneCostPerKiB},
+		Scheduler: scheduler.Params{
+			RetryRatio: b.RetryRatio, RetrySlack: b.RetrySlack,
+			CrossZoneCost: crossZoneCost, CrossZoneCostPerKiB: crossZoneCostPerKiB, KeepInZone: e.processSettings.KeepInZone,
+		},
 		RateTolerance: rateTolerance(b),
 	}
 }
@@ -323,6 +326,8 @@
 			e.confirmTerm(e.runCtx)
 		case leader.WriteRates:
 			go e.writeRates(e.runCtx, e.leader.Term(), v.Rates)
+		case leader.CountCrossing:
+			e.common.Metrics.Tagged(map[string]string{"reason": v.Reason}).Counter("zone_crossings").Inc(1)
 		case leader.LogLine:
 			e.logEvent(v.Name, v.Fields)
 		}
--- a/pkg/leader/effect.go
+++ b/pkg/leader/effect.go
@@ -7,7 +7,7 @@
 	"github.com/azuretiller/azuretiller/pkg/message"
 )
 
-// Effect is an action that the process carries out for the leader: a Send, a ReadLeader, a WriteRates or a LogLine.
+// Effect is an action that the process carries out for the leader: a Send, a ReadLeader, a WriteRates, a CountCrossing or a LogLine.
 type Effect interface{ effect() }
 
 // Send sends a message to a VM; To is its host:port.
@@ -23,6 +23,9 @@
 // the result to RatesWritten.
 type WriteRates struct{ Rates azuretiller.RateLedger }
 
+// CountCrossing counts an attempt that was placed in another availability zone than its VM, by the reason that the scheduler gave.
+type CountCrossing struct{ Reason string }
+
 // LogLine writes a log line.
 type LogLine struct {
 	Name   string
@@ -34,3 +37,5 @@
 
 func (ReadLeader) effect() {}
 func (WriteRates) effect() {}
+
+func (CountCrossing) effect() {}
--- a/pkg/leader/requests.go
+++ b/pkg/leader/requests.go
@@ -110,6 +110,9 @@
 			}
 		}
 		effects = append(effects, l.decisionLogLine(service, d))
+		if d.CrossZone && l.params.Scheduler.KeepInZone {
+			effects = append(effects, CountCrossing{Reason: d.Crossing.String()})
+		}
 	}
 	return effects
 }
@@ -129,6 +132,9 @@
 	fields["busy"] = d.Busy
 	fields["queued"] = d.QueueTime
 	fields["crossed"] = d.CrossZone
+	if d.CrossZone && l.params.Scheduler.KeepInZone {
+		fields["crossed_why"] = d.Crossing.String()
+	}
 	return LogLine{"placed", fields}
 }
 
--- a/pkg/scheduler/choose.go
+++ b/pkg/scheduler/choose.go
@@ -42,15 +42,7 @@
 // score rates a server for a request; higher is better. It weighs the risk of failure, the load, the availability
 // zone and whether the server is cold, new or, with preferUnused, without recent requests.
 func (sc *Scheduler) score(now time.Time, s *server, w *waitingRequest, preferUnused bool) float64 {
-	failureRisk, shedRisk := 1-s.success.SuccessProbability(now), 1-s.acceptance.SuccessProbability(now)
-	if !w.PreviouslySent && sc.retryBudget.Remaining() > minRetryBudget {
-		// A request that a server sheds did not run, so it may be sent to another server even if it is not idempotent.
-		shedRisk *= retryableDiscount
-		if w.Idempotent {
-			failureRisk *= retryableDiscount
-		}
-	}
-	failureRisk = 1 - (1-failureRisk)*(1-shedRisk)
+	failureRisk := sc.failureRisk(now, s, w)
 	score := -failureRisk - inFlightRiskWeight*float64(s.busy)*failureRisk
 	score -= loadPenalty * float64(s.busy) / float64(max(s.Slots, 1))
 	if s.Zone != w.Zone {
@@ -62,12 +54,25 @@
 	if s.lastRequestStart.IsZero() {
 		score += newServerBonus
 	}
-	if preferUnused && now.Sub(s.lastRequestStart) > coverageWindow && s.healthy(now, recoveredAfter) {
+	if preferUnused && sc.lacksUse(now, s) {
 		score += coverageBonus
 	}
 	return score
 }
 
+// failureRisk returns the probability that a request is lost on a server. It is lower for requests that may be sent again.
+func (sc *Scheduler) failureRisk(now time.Time, s *server, w *waitingRequest) float64 {
+	failureRisk, shedRisk := 1-s.success.SuccessProbability(now), 1-s.acceptance.SuccessProbability(now)
+	if !w.PreviouslySent && sc.retryBudget.Remaining() > minRetryBudget {
+		// A request that a server sheds did not run, so it may be sent to another server even if it is not idempotent.
+		shedRisk *= retryableDiscount
+		if w.Idempotent {
+			failureRisk *= retryableDiscount
+		}
+	}
+	return 1 - (1-failureRisk)*(1-shedRisk)
+}
+
 // mayExplore reports whether a request may go to a server with a lower score to keep that server in use. Idempotent
 // requests may, because another server can run them again. Others may only while there are few idempotent requests.
 func (sc *Scheduler) mayExplore(now time.Time, r Request) bool {
--- a/pkg/scheduler/params.go
+++ b/pkg/scheduler/params.go
@@ -12,6 +12,9 @@
 	// answer. CrossZoneCostPerKiB is the additional cost of each 1,024 bytes of the bodies of request and answer.
 	CrossZoneCost       float64
 	CrossZoneCostPerKiB float64
+	// KeepInZone means that requests wait for slots of their own availability zone and leave it by the rules of package zoneflow. Without it,
+	// the costs above only lower the score of servers in other zones.
+	KeepInZone bool
 }
 
 const (
--- a/pkg/scheduler/queue.go
+++ b/pkg/scheduler/queue.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -74,12 +75,16 @@
 	return initialServiceTime
 }
 
-// queue returns the queue of a priority and creates it if there is none.
-func (sc *Scheduler) queue(priority int) *fairqueue.Queue[azuretiller.TeamID, azuretiller.RouteID, *waitingRequest] {
-	i, found := slices.BinarySearchFunc(sc.queues, priority, func(q *queue, p int) int { return q.priority - p })
+// queue returns the queue of a priority and a zone and creates it if there is none. The zone is empty unless requests are kept in their
+// zones.
+func (sc *Scheduler) queue(priority int, zone azuretiller.Zone) *fairqueue.Queue[azuretiller.TeamID, azuretiller.RouteID, *waitingRequest] {
+	i, found := slices.BinarySearchFunc(sc.queues, priority, func(q *queue, p int) int {
+		return cmp.Or(cmp.Compare(q.priority, p), cmp.Compare(q.zone, zone))
+	})
 	if !found {
 		sc.queues = slices.Insert(sc.queues, i, &queue{
 			priority: priority,
+			zone:     zone,
 			requests: fairqueue.New[azuretiller.TeamID, azuretiller.RouteID, *waitingRequest](),
 		})
 	}
--- a/pkg/scheduler/request.go
+++ b/pkg/scheduler/request.go
@@ -5,6 +5,7 @@
 
 	"github.com/azuretiller/azuretiller"
 	"github.com/azuretiller/azuretiller/pkg/message"
+	"github.com/azuretiller/azuretiller/pkg/zoneflow"
 )
 
 // Request is one attempt at a caller's request that needs a backend server.
@@ -56,6 +57,8 @@
 	QueueTime          time.Duration
 	// CrossZone means that the server is in a different availability zone from the VM.
 	CrossZone bool
+	// Crossing is why the request left its zone, if requests are kept in their zones.
+	Crossing zoneflow.Verdict
 	// Deadline and Fingerprint are copied from the request.
 	Deadline    time.Time
 	Fingerprint uint64
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -21,6 +21,10 @@
 	successModel    *health.Model
 	acceptanceModel *health.Model
 	servers         []*server
+	// zones are the servers by availability zone.
+	zones []*zoneServers
+	// coverageSufficesUntil is the time until which requests that are kept in their zones need not be spread over more servers.
+	coverageSufficesUntil time.Time
 	// queues are the waiting requests by priority. Priority 0 is the most urgent and comes first.
 	queues  []*queue
 	running map[message.TicketID]*attempt
@@ -36,6 +40,7 @@
 
 type queue struct {
 	priority int
+	zone     azuretiller.Zone
 	requests *fairqueue.Queue[azuretiller.TeamID, azuretiller.RouteID, *waitingRequest]
 }
 
@@ -45,6 +50,8 @@
 	queueDeadline time.Time
 	// betterServerUntil is the time until which the request waits for a server that is more likely to succeed.
 	betterServerUntil time.Time
+	// zoneWait is the wait for a slot of the request's own zone, if requests are kept in their zones.
+	zoneWait zoneWait
 }
 
 // attempt is a request that runs on a server.
@@ -102,6 +109,7 @@
 		next = append(next, s)
 	}
 	sc.servers = next
+	sc.groupByZone()
 	return sc.assignQueued(now)
 }
 
@@ -121,7 +129,7 @@
 	if wait := sc.expectedWait(r.Priority); now.Add(wait).After(w.queueDeadline) {
 		return []Decision{sc.reject(now, r, azuretiller.CodeOverloaded, wait)}
 	}
-	sc.queue(r.Priority).Push(r.Team, 1, r.Route, w)
+	sc.queue(r.Priority, sc.queueZone(now, r)).Push(r.Team, 1, r.Route, w)
 	decisions := sc.assignQueued(now)
 	if !slices.ContainsFunc(decisions, func(decision Decision) bool { return decision.Key == r.Key }) {
 		decisions = append(decisions, Decision{Key: r.Key, ID: r.ID, Code: azuretiller.CodeOK, Queued: true})
@@ -147,6 +155,9 @@
 
 // assignQueued assigns waiting requests to servers, the most urgent first.
 func (sc *Scheduler) assignQueued(now time.Time) []Decision {
+	if sc.params.KeepInZone {
+		return sc.assignByZone(now)
+	}
 	var decisions []Decision
 	misses := 0
 	for _, q := range sc.queues {
@@ -184,6 +195,7 @@
 		Busy:               s.busy,
 		QueueTime:          now.Sub(w.enqueued),
 		CrossZone:          s.Zone != w.Zone,
+		Crossing:           w.zoneWait.verdict,
 
 		Deadline:    w.Deadline,
 		Fingerprint: w.Fingerprint,
--- /dev/null
+++ b/pkg/scheduler/zones.go
@@ -0,0 +1,345 @@
+package scheduler
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/azuretiller/azuretiller"
+	"github.com/azuretiller/azuretiller/pkg/zoneflow"
+)
+
+const (
+	// zoneLateShare is the share of its longest time in the queue after which a request takes the slots that other zones keep free for
+	// their own requests, and urgentLateShare the same for requests with priority 0.
+	zoneLateShare   = 0.6
+	urgentLateShare = 0.3
+	// minTrustedSuccess is the success probability from which the slots of a server count as slots to wait for.
+	minTrustedSuccess = 0.75
+	// minSureSuccess is the success probability of the best server of a full zone from which a request waits without a look at the others.
+	minSureSuccess = 0.95
+	// minExplorersPerServer is the number of requests for each server of a zone in coverageWindow, counting those that may go to a server
+	// with a lower score, from which the zone keeps its servers in use without requests of other zones.
+	minExplorersPerServer = 2
+	// coverageCheckInterval is how long it is relied on that enough servers are in use. It is a small fraction of coverageWindow.
+	coverageCheckInterval = 10 * time.Millisecond
+)
+
+// zoneServers are the servers of one availability zone.
+type zoneServers struct {
+	name    azuretiller.Zone
+	servers []*server
+	// measured is the state of the trusted servers at measuredAt, without the waiting requests.
+	measured   zoneflow.Zone
+	measuredAt time.Time
+	// bestSuccess is the highest success probability of the servers at measuredAt, and isFull means that none had a free slot.
+	bestSuccess float64
+	isFull      bool
+	// explorers are the recent requests of the zone that may go to a server with a lower score.
+	explorers eventWindow
+}
+
+// zoneWait is the state of a request that may wait for a slot of its own zone.
+type zoneWait struct {
+	verdict zoneflow.Verdict
+}
+
+// groupByZone divides the servers by zone. The requests counted for a zone stay.
+func (sc *Scheduler) groupByZone() {
+	var zones []*zoneServers
+	for _, s := range sc.servers {
+		i := slices.IndexFunc(zones, func(z *zoneServers) bool { return z.name == s.Zone })
+		if i < 0 {
+			z := &zoneServers{name: s.Zone}
+			if former := sc.zone(s.Zone); former != nil {
+				z.explorers = former.explorers
+			}
+			zones, i = append(zones, z), len(zones)
+		}
+		zones[i].servers = append(zones[i].servers, s)
+	}
+	sc.zones = zones
+}
+
+func (sc *Scheduler) zone(name azuretiller.Zone) *zoneServers {
+	for _, z := range sc.zones {
+		if z.name == name {
+			return z
+		}
+	}
+	return nil
+}
+
+// queueZone returns the zone of the queue in which a new request waits, and counts the request for its zone.
+func (sc *Scheduler) queueZone(now time.Time, r Request) azuretiller.Zone {
+	if !sc.params.KeepInZone {
+		return ""
+	}
+	if z := sc.zone(r.Zone); z != nil && sc.mayExplore(now, r) {
+		z.explorers.add(now)
+	}
+	return r.Zone
+}
+
+func (z *zoneServers) hasFreeCapacity(now time.Time) bool {
+	return slices.ContainsFunc(z.servers, func(s *server) bool { return s.freeCapacity(now) > 0 })
+}
+
+// assignByZone assigns waiting requests to servers, the most urgent first. Among requests of the same priority, those that get a server of
+// their own zone come before those that leave their zone.
+func (sc *Scheduler) assignByZone(now time.Time) []Decision {
+	var decisions []Decision
+	for first := 0; first < len(sc.queues); {
+		last := first
+		for last < len(sc.queues) && sc.queues[last].priority == sc.queues[first].priority {
+			last++
+		}
+		samePriority := sc.queues[first:last]
+		// Requests without servers in their own zone get every n-th slot before the requests of the n-1 zones with servers.
+		if int(sc.tickets.last)%(len(sc.zones)+1) == 0 {
+			decisions = sc.drainHomeless(now, samePriority, decisions)
+		}
+		for _, q := range samePriority {
+			if z := sc.zone(q.zone); q.requests.Len() > 0 && z != nil && z.hasFreeCapacity(now) {
+				decisions = sc.drain(now, q, z, math.MaxInt, decisions)
+			}
+		}
+		// The zone that comes first gets the free slots of others first, so the order changes.
+		for i := range samePriority {
+			q := samePriority[(i+int(sc.tickets.last))%len(samePriority)]
+			if q.requests.Len() > 0 && sc.hasFreeCapacity(now) {
+				decisions = sc.drain(now, q, nil, math.MaxInt, decisions)
+			}
+		}
+		first = last
+	}
+	return decisions
+}
+
+// drainHomeless assigns at most one request of each queue whose zone has no usable servers.
+func (sc *Scheduler) drainHomeless(now time.Time, queues []*queue, decisions []Decision) []Decision {
+	for _, q := range queues {
+		if q.requests.Len() > 0 && sc.isHomeless(now, sc.zone(q.zone)) && sc.hasFreeCapacity(now) {
+			decisions = sc.drain(now, q, nil, 1, decisions)
+		}
+	}
+	return decisions
+}
+
+// isHomeless reports whether a zone, which may be nil, has no server that is likely to run a request.
+func (sc *Scheduler) isHomeless(now time.Time, z *zoneServers) bool {
+	if z == nil {
+		return true
+	}
+	z.refresh(now)
+	return z.measured.Slots == 0
+}
+
+// drain assigns requests of one queue until none can be assigned or the limit is reached. With a zone, only servers of that zone are used.
+func (sc *Scheduler) drain(now time.Time, q *queue, only *zoneServers, limit int, decisions []Decision) []Decision {
+	misses := 0
+	for ; limit > 0 && q.requests.Len() > 0 && misses < maxMisses && (only == nil || only.hasFreeCapacity(now)); limit-- {
+		var chosen *server
+		w, ok := q.requests.Pop(func(w *waitingRequest) (float64, bool) {
+			if misses >= maxMisses {
+				return 0, false
+			}
+			chosen = sc.chooseByZone(now, w, only != nil)
+			if chosen == nil {
+				misses++
+			}
+			return sc.serviceTimeOf(w.Route).Seconds(), chosen != nil
+		})
+		if !ok {
+			break
+		}
+		decisions = append(decisions, sc.assign(now, w, chosen))
+		sc.zone(chosen.Zone).measuredAt = time.Time{}
+	}
+	return decisions
+}
+
+// chooseByZone returns the server for a request, or nil if the request should wait. With stay set, it returns only a server of the
+// request's own zone.
+func (sc *Scheduler) chooseByZone(now time.Time, w *waitingRequest, stay bool) *server {
+	flow := zoneflow.Flow{Cost: sc.params.CrossZoneCost, CostPerKiB: sc.params.CrossZoneCostPerKiB}
+	request := zoneflow.Request{
+		Spare: w.SoftDeadline.Sub(w.enqueued) - sc.serviceTimeOf(w.Route), Waited: now.Sub(w.enqueued), Size: sc.meanSize[w.Route], Priority: w.Priority, Idempotent: w.Idempotent,
+	}
+	own := sc.zone(w.Zone)
+	preferUnused := sc.mayExplore(now, w.Request) && sc.zonesNeedCoverage(now)
+	var candidates zoneflow.Candidates
+	bestBusy := 0.0
+	patient := own != nil && flow.Waits(request, sc.measure(now, own, math.MaxInt), sc.meanServiceTime())
+	if patient && !preferUnused && own.isFull && own.bestSuccess >= minSureSuccess {
+		return nil
+	}
+	best := sc.bestOf(now, own, w, preferUnused, &candidates.OwnBusy)
+	w.zoneWait.verdict = zoneflow.Stay
+	if best != nil {
+		if preferUnused && sc.lacksUse(now, best) {
+			return best
+		}
+		candidates.Own = sc.value(now, best, w)
+	}
+	if preferUnused && !stay {
+		if s := sc.uncovered(now, own, w); s != nil {
+			w.zoneWait.verdict = zoneflow.LeaveCoverage
+			return s
+		}
+	}
+	// The success probability of servers elsewhere is at most 1.
+	candidates.Elsewhere = 1
+	verdict := flow.Decide(request, candidates, patient)
+	if verdict == zoneflow.LeaveFull || verdict == zoneflow.LeaveSuspected {
+		if stay {
+			return nil
+		}
+		var elsewhere *server
+		candidates.Elsewhere = 0
+		if elsewhere = sc.bestElsewhere(now, own, w, flow, verdict == zoneflow.LeaveSuspected, &bestBusy); elsewhere != nil {
+			candidates.Elsewhere = sc.value(now, elsewhere, w)
+		}
+		verdict = flow.Decide(request, candidates, patient)
+		if verdict == zoneflow.LeaveFull || verdict == zoneflow.LeaveSuspected {
+			w.zoneWait.verdict = verdict
+			return elsewhere
+		}
+	}
+	if verdict == zoneflow.Wait || !w.Idempotent && now.Before(w.betterServerUntil) && candidates.Own < max(bestBusy, candidates.OwnBusy)-betterServerMargin {
+		return nil
+	}
+	return best
+}
+
+// measure returns the state of a zone with its waiting requests up to a priority.
+func (sc *Scheduler) measure(now time.Time, z *zoneServers, priority int) zoneflow.Zone {
+	z.refresh(now)
+	state := z.measured
+	for _, q := range sc.queues {
+		if q.zone == z.name && q.priority <= priority {
+			state.Waiting += q.requests.Len()
+		}
+	}
+	return state
+}
+
+// refresh measures the servers of the zone, unless it was done at the same time and no request was assigned since.
+func (z *zoneServers) refresh(now time.Time) {
+	if z.measuredAt.Equal(now) {
+		return
+	}
+	z.measured, z.measuredAt, z.bestSuccess, z.isFull = zoneflow.Zone{}, now, 0, true
+	for _, s := range z.servers {
+		if !s.acceptsRequests(now) {
+			continue
+		}
+		free := max(s.freeCapacity(now), 0)
+		z.isFull = z.isFull && free == 0
+		z.bestSuccess = max(z.bestSuccess, s.successProbability(now))
+		if s.success.SuccessProbability(now) >= minTrustedSuccess {
+			z.measured.Slots += s.Slots
+			z.measured.Free += free
+		}
+	}
+}
+
+// bestElsewhere returns the best server with a free slot in that one of the other zones which accepts the request and has the largest share
+// of its slots free.
+func (sc *Scheduler) bestElsewhere(now time.Time, own *zoneServers, w *waitingRequest, flow zoneflow.Flow, suspected bool, bestBusy *float64) *server {
+	priority, claim := math.MaxInt, zoneflow.Guest
+	switch {
+	case sc.isHomeless(now, own):
+		claim = zoneflow.Homeless
+	case suspected || sc.isLate(now, w):
+		priority, claim = w.Priority, zoneflow.Late
+	}
+	var best *server
+	bestFree := -1.0
+	for _, z := range sc.zones {
+		state := sc.measure(now, z, priority)
+		free := float64(state.Free-state.Waiting) / float64(max(state.Slots, 1))
+		if z == own || !flow.Accepts(state, claim) || best != nil && free <= bestFree {
+			continue
+		}
+		if s := sc.bestOf(now, z, w, false, bestBusy); s != nil {
+			best, bestFree = s, free
+		}
+	}
+	return best
+}
+
+// isLate reports whether a request has waited for so long that it takes the slots that other zones keep free.
+func (sc *Scheduler) isLate(now time.Time, w *waitingRequest) bool {
+	share := zoneLateShare
+	if w.Priority == 0 {
+		share = urgentLateShare
+	}
+	return now.Sub(w.enqueued) >= time.Duration(share*float64(w.queueDeadline.Sub(w.enqueued)))
+}
+
+// bestOf returns the server of a zone with the highest score for a request, or nil. It raises bestBusy to the value of the best
+// server without a free slot.
+func (sc *Scheduler) bestOf(now time.Time, z *zoneServers, w *waitingRequest, preferUnused bool, bestBusy *float64) *server {
+	var best *server
+	bestScore := math.Inf(-1)
+	if z == nil {
+		return nil
+	}
+	for _, s := range z.servers {
+		if len(w.Tried) > 0 && slices.Contains(w.Tried, s.ID) || !s.availableTo(w.Key.From, now) {
+			continue
+		}
+		if s.freeCapacity(now) <= 0 {
+			if s.acceptsRequests(now) {
+				*bestBusy = max(*bestBusy, sc.value(now, s, w))
+			}
+			continue
+		}
+		if score := sc.score(now, s, w, preferUnused); score > bestScore {
+			best, bestScore = s, score
+		}
+	}
+	return best
+}
+
+// value returns the expected share of the value of a response that a request gets from a server, without the cost of crossing.
+func (sc *Scheduler) value(now time.Time, s *server, w *waitingRequest) float64 {
+	value := 1 - sc.failureRisk(now, s, w)
+	if now.Before(s.ColdUntil) {
+		value -= coldPenalty
+	}
+	return value
+}
+
+// zonesNeedCoverage returns needsCoverage and reuses a negative result for a short time.
+func (sc *Scheduler) zonesNeedCoverage(now time.Time) bool {
+	if now.Before(sc.coverageSufficesUntil) {
+		return false
+	}
+	if sc.needsCoverage(now) {
+		return true
+	}
+	sc.coverageSufficesUntil = now.Add(coverageCheckInterval)
+	return false
+}
+
+// lacksUse reports whether a server is healthy but got no request within coverageWindow.
+func (sc *Scheduler) lacksUse(now time.Time, s *server) bool {
+	return now.Sub(s.lastRequestStart) > coverageWindow && s.healthy(now, recoveredAfter)
+}
+
+// uncovered returns a server that must be kept in use in another zone whose own requests are too few for that, or nil.
+func (sc *Scheduler) uncovered(now time.Time, own *zoneServers, w *waitingRequest) *server {
+	for _, z := range sc.zones {
+		if z == own || float64(z.explorers.count(now)) >= minExplorersPerServer*float64(len(z.servers)) {
+			continue
+		}
+		for _, s := range z.servers {
+			if sc.lacksUse(now, s) && s.freeCapacity(now) > 0 && s.availableTo(w.Key.From, now) && !slices.Contains(w.Tried, s.ID) {
+				return s
+			}
+		}
+	}
+	return nil
+}
