--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -46,7 +46,9 @@
 	// withheld counts the attempts that were not sent since the server had asked this VM for no requests.
 	withheld int
 	// allPaused means that every server that could run the request is leaving or asked this VM for a pause.
-	allPaused     bool
+	allPaused bool
+	// pauseEnds means that the Retry-After time is the end of a pause that a server asked for.
+	pauseEnds     bool
 	withoutLeader bool
 	reason        string
 }
--- a/pkg/gateway/response.go
+++ b/pkg/gateway/response.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -11,6 +12,7 @@
 	"github.com/azuretiller/azuretiller"
 	"github.com/azuretiller/azuretiller/pkg/headers"
 	"github.com/azuretiller/azuretiller/pkg/message"
+	"github.com/azuretiller/azuretiller/pkg/retryafter"
 	"github.com/azuretiller/azuretiller/platform"
 )
 
@@ -85,14 +87,18 @@
 	}
 }
 
-// refuse responds with a result code instead of the response of a backend server; retryAfter is sent if the status of the code promises
-// that the request was not run.
+// refuse responds with a result code instead of the response of a backend server; retryAfter is sent if the status
+// of the code promises that the request was not run, and is spread by the id of the request unless backend servers asked for a pause.
 func (c *call) refuse(code azuretiller.Code, retryAfter time.Duration) {
 	info, _ := azuretiller.LookupCode(code)
 	c.code = code
 	c.status = info.Status
 	h := c.writer.Header()
 	if platform.PromisesNotRun(info.Status) {
+		if !c.pauseEnds {
+			// A caller that sends no id is told apart by its address.
+			retryAfter = retryafter.Spread(retryAfter, cmp.Or(c.id, c.request.RemoteAddr))
+		}
 		h.Set("Retry-After", formatRetryAfter(retryAfter))
 	}
 	h.Set("Content-Type", "text/plain; charset=utf-8")
@@ -161,6 +167,7 @@
 	if c.reason != "" {
 		c.reason += "; "
 	}
+	c.pauseEnds = true
 	c.reason += "all servers pause, the first for " + firstEnd.String()
 	deadline, _ := ctx.Deadline()
 	return min(firstEnd, deadline.Sub(now))
--- a/pkg/leader/requests.go
+++ b/pkg/leader/requests.go
@@ -62,6 +62,7 @@
 		Team:            request.Team,
 		Route:           request.Route,
 		Priority:        request.Priority,
+		Shared:          len(request.Backends) > 1,
 		Idempotent:      request.Idempotent,
 		SubmittedBefore: request.Attempt > 1,
 		PreviouslySent:  request.Attempt > 1 && (request.Hedge || request.LastReport == nil || request.LastReport.Result.Sent()),
--- a/pkg/scheduler/queue.go
+++ b/pkg/scheduler/queue.go
@@ -20,21 +20,25 @@
 
 // expectedWait estimates how long a new request would wait for a slot. All waiting requests that are more urgent are served before it,
 // and of those with its priority the ones that the fair order of teams and routes puts before it.
-func (sc *Scheduler) expectedWait(r Request) time.Duration {
+// More urgent requests that arrive meanwhile take the slots that they took lately.
+func (sc *Scheduler) expectedWait(now time.Time, r Request) time.Duration {
 	ahead := 0.0
 	cost := func(route azuretiller.RouteID) float64 { return sc.serviceTimeOf(route).Seconds() }
 	for _, q := range sc.queues {
 		switch {
-		case q.priority < r.Priority:
+		case q.urgency < r.urgency():
 			ahead += float64(q.requests.Len()) * sc.meanServiceTime().Seconds()
-		case q.priority == r.Priority:
+		case q.urgency == r.urgency():
 			ahead += q.requests.Ahead(r.Team, 1, r.Route, cost)
 		}
 	}
-	if ahead == 0 {
+	urgent := sc.urgentDemand(now, r)
+	if ahead == 0 && (urgent == 0 || sc.hasFreeCapacity(now)) {
 		return 0
 	}
-	return time.Duration((ahead + cost(r.Route)) / float64(max(sc.slots(), 1)) * float64(time.Second))
+	slots := float64(max(sc.slots(), 1))
+	left := max(slots-urgent, minLeftShare*slots)
+	return time.Duration((ahead + cost(r.Route)) / left * float64(time.Second))
 }
 
 func (sc *Scheduler) slots() int {
@@ -80,15 +84,15 @@
 	return initialServiceTime
 }
 
-// queue returns the queue of a priority and a zone and creates it if there is none. The zone is empty unless requests are kept in their
+// queue returns the queue of an urgency and a zone and creates it if there is none. The zone is empty unless requests are kept in their
 // zones.
-func (sc *Scheduler) queue(priority int, zone azuretiller.Zone) *fairqueue.Queue[azuretiller.TeamID, azuretiller.RouteID, *waitingRequest] {
-	i, found := slices.BinarySearchFunc(sc.queues, priority, func(q *queue, p int) int {
-		return cmp.Or(cmp.Compare(q.priority, p), cmp.Compare(q.zone, zone))
+func (sc *Scheduler) queue(urgency int, zone azuretiller.Zone) *fairqueue.Queue[azuretiller.TeamID, azuretiller.RouteID, *waitingRequest] {
+	i, found := slices.BinarySearchFunc(sc.queues, urgency, func(q *queue, u int) int {
+		return cmp.Or(cmp.Compare(q.urgency, u), cmp.Compare(q.zone, zone))
 	})
 	if !found {
 		sc.queues = slices.Insert(sc.queues, i, &queue{
-			priority: priority,
+			urgency:  urgency,
 			zone:     zone,
 			requests: fairqueue.New[azuretiller.TeamID, azuretiller.RouteID, *waitingRequest](),
 		})
--- a/pkg/scheduler/request.go
+++ b/pkg/scheduler/request.go
@@ -20,7 +20,9 @@
 	// Route selects the average service time and body size that the scheduler learned from earlier answers.
 	Route azuretiller.RouteID
 	// Priority is 0 for the most urgent requests and larger for others.
-	Priority   int
+	Priority int
+	// Shared means that the service is only one of several that serve the route.
+	Shared     bool
 	Idempotent bool
 	// SubmittedBefore means that an earlier attempt of the caller's request was submitted.
 	SubmittedBefore bool
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -25,7 +25,7 @@
 	zones []*zoneServers
 	// coverageSufficesUntil is the time until which requests that are kept in their zones need not be spread over more servers.
 	coverageSufficesUntil time.Time
-	// queues are the waiting requests by priority. Priority 0 is the most urgent and comes first.
+	// queues are the waiting requests by urgency. The most urgent come first.
 	queues  []*queue
 	running map[message.TicketID]*attempt
 	// serviceTimes are the moving averages of the service time of each route.
@@ -33,13 +33,15 @@
 	// meanSize is the moving average of the size of the bodies of request and answer of each route, in bytes.
 	meanSize    map[azuretiller.RouteID]float64
 	retryBudget *retrybudget.Budget
-	outcomes    outcomeWindow
+	// demands are the recent demands by urgency, the most urgent first.
+	demands  []*demand
+	outcomes outcomeWindow
 	// idempotentStarts are the recent starts of idempotent requests.
 	idempotentStarts eventWindow
 }
 
 type queue struct {
-	priority int
+	urgency  int
 	zone     azuretiller.Zone
 	requests *fairqueue.Queue[azuretiller.TeamID, azuretiller.RouteID, *waitingRequest]
 }
@@ -122,14 +124,15 @@
 	if code := sc.serverCode(r, now); code != azuretiller.CodeOK {
 		return []Decision{sc.reject(now, r, code, noServerWait)}
 	}
-	if r.PreviouslySent && !sc.retryBudget.Withdraw() {
+	if r.PreviouslySent && !sc.withdrawRetry(now, r) {
 		return []Decision{sc.reject(now, r, azuretiller.CodeOverloaded, sc.drainTime())}
 	}
 	w := &waitingRequest{Request: r, enqueued: now, queueDeadline: queueDeadline(now, r), betterServerUntil: now.Add(betterServerWait)}
-	if wait := sc.expectedWait(r); now.Add(wait).After(w.queueDeadline) {
-		return []Decision{sc.reject(now, r, azuretiller.CodeOverloaded, wait)}
+	if wait := sc.expectedWait(now, r); now.Add(wait).After(w.queueDeadline) {
+		return []Decision{sc.reject(now, r, azuretiller.CodeOverloaded, sc.retryAfter(wait))}
 	}
-	sc.queue(r.Priority, sc.queueZone(now, r)).Push(r.Team, 1, r.Route, w)
+	sc.countDemand(now, r)
+	sc.queue(r.urgency(), sc.queueZone(now, r)).Push(r.Team, 1, r.Route, w)
 	decisions := sc.assignQueued(now)
 	if !slices.ContainsFunc(decisions, func(decision Decision) bool { return decision.Key == r.Key }) {
 		decisions = append(decisions, Decision{Key: r.Key, ID: r.ID, Code: azuretiller.CodeOK, Queued: true})
--- a/pkg/scheduler/zones.go
+++ b/pkg/scheduler/zones.go
@@ -91,22 +91,22 @@
 	var decisions []Decision
 	for first := 0; first < len(sc.queues); {
 		last := first
-		for last < len(sc.queues) && sc.queues[last].priority == sc.queues[first].priority {
+		for last < len(sc.queues) && sc.queues[last].urgency == sc.queues[first].urgency {
 			last++
 		}
-		samePriority := sc.queues[first:last]
+		sameUrgency := sc.queues[first:last]
 		// Requests without servers in their own zone get every n-th slot before the requests of the n-1 zones with servers.
 		if int(sc.tickets.last)%(len(sc.zones)+1) == 0 {
-			decisions = sc.drainHomeless(now, samePriority, decisions)
+			decisions = sc.drainHomeless(now, sameUrgency, decisions)
 		}
-		for _, q := range samePriority {
+		for _, q := range sameUrgency {
 			if z := sc.zone(q.zone); q.requests.Len() > 0 && z != nil && z.hasFreeCapacity(now) {
 				decisions = sc.drain(now, q, z, math.MaxInt, decisions)
 			}
 		}
 		// The zone that comes first gets the free slots of others first, so the order changes.
-		for i := range samePriority {
-			q := samePriority[(i+int(sc.tickets.last))%len(samePriority)]
+		for i := range sameUrgency {
+			q := sameUrgency[(i+int(sc.tickets.last))%len(sameUrgency)]
 			if q.requests.Len() > 0 && sc.hasFreeCapacity(now) {
 				decisions = sc.drain(now, q, nil, math.MaxInt, decisions)
 			}
@@ -212,12 +212,12 @@
 	return best
 }
 
-// measure returns the state of a zone with its waiting requests up to a priority.
-func (sc *Scheduler) measure(now time.Time, z *zoneServers, priority int) zoneflow.Zone {
+// measure returns the state of a zone with its waiting requests up to an urgency.
+func (sc *Scheduler) measure(now time.Time, z *zoneServers, urgency int) zoneflow.Zone {
 	z.refresh(now)
 	state := z.measured
 	for _, q := range sc.queues {
-		if q.zone == z.name && q.priority <= priority {
+		if q.zone == z.name && q.urgency <= urgency {
 			state.Waiting += q.requests.Len()
 		}
 	}
@@ -247,17 +247,17 @@
 // bestElsewhere returns the best server with a free slot in that one of the other zones which accepts the request and has the largest share
 // of its slots free.
 func (sc *Scheduler) bestElsewhere(now time.Time, own *zoneServers, w *waitingRequest, flow zoneflow.Flow, suspected bool, bestBusy *float64) *server {
-	priority, claim := math.MaxInt, zoneflow.Guest
+	urgency, claim := math.MaxInt, zoneflow.Guest
 	switch {
 	case sc.isHomeless(now, own):
 		claim = zoneflow.Homeless
 	case suspected || sc.isLate(now, w):
-		priority, claim = w.Priority, zoneflow.Late
+		urgency, claim = w.urgency(), zoneflow.Late
 	}
 	var best *server
 	bestFree := -1.0
 	for _, z := range sc.zones {
-		state := sc.measure(now, z, priority)
+		state := sc.measure(now, z, urgency)
 		free := float64(state.Free-state.Waiting) / float64(max(state.Slots, 1))
 		if z == own || !flow.Accepts(state, claim) || best != nil && free <= bestFree {
 			continue
