Let late requests use suspected servers of other zones, and measure zones anew in each pass

Cause: if the success probabilities of all servers were below 0.75, no zone counted as having free slots, and requests of a full zone waited until they were refused. A slot that became free at the time of an earlier measurement was not seen. Change: requests that are late or have no servers in their zone count all free slots.

--- a/pkg/scheduler/zones.go
+++ b/pkg/scheduler/zones.go
@@ -35,9 +35,9 @@
 	// measured is the state of the trusted servers at measuredAt, without the waiting requests.
 	measured   zoneflow.Zone
 	measuredAt time.Time
-	// bestSuccess is the highest success probability of the servers at measuredAt, and isFull means that none had a free slot.
+	// bestSuccess is the highest success probability of the servers at measuredAt, and free the number of free slots of all of them.
 	bestSuccess float64
-	isFull      bool
+	free        int
 	// explorers are the recent requests of the zone that may go to a server with a lower score.
 	explorers eventWindow
 }
@@ -91,6 +91,10 @@
 // assignByZone assigns waiting requests to servers, the most urgent first. Among requests of the same priority, those that get a server of
 // their own zone come before those that leave their zone.
 func (sc *Scheduler) assignByZone(now time.Time) []Decision {
+	for _, z := range sc.zones {
+		// Slots may have become free at the same time.
+		z.measuredAt = time.Time{}
+	}
 	var decisions []Decision
 	for first := 0; first < len(sc.queues); {
 		last := first
@@ -174,7 +178,7 @@
 	var candidates zoneflow.Candidates
 	bestBusy := 0.0
 	patient := own != nil && flow.Waits(request, sc.measure(now, own, math.MaxInt), sc.meanServiceTime())
-	if patient && !preferUnused && own.isFull && own.bestSuccess >= minSureSuccess {
+	if patient && !preferUnused && own.free == 0 && own.bestSuccess >= minSureSuccess {
 		return nil
 	}
 	best := sc.bestOf(now, own, w, preferUnused, &candidates.OwnBusy)
@@ -236,13 +240,13 @@
 	if z.measuredAt.Equal(now) {
 		return
 	}
-	z.measured, z.measuredAt, z.bestSuccess, z.isFull = zoneflow.Zone{}, now, 0, true
+	z.measured, z.measuredAt, z.bestSuccess, z.free = zoneflow.Zone{}, now, 0, 0
 	for _, s := range z.servers {
 		if !s.acceptsRequests(now) {
 			continue
 		}
 		free := max(s.freeCapacity(now), 0)
-		z.isFull = z.isFull && free == 0
+		z.free += free
 		z.bestSuccess = max(z.bestSuccess, s.successProbability(now))
 		if s.success.SuccessProbability(now) >= minTrustedSuccess {
 			z.measured.Slots += s.Slots
@@ -265,6 +269,10 @@
 	bestFree := -1.0
 	for _, z := range sc.zones {
 		state := sc.measure(now, z, urgency)
+		if claim != zoneflow.Guest {
+			// If the servers of all zones fail, a suspected one is better than none.
+			state.Free = z.free
+		}
 		free := float64(state.Free-state.Waiting) / float64(max(state.Slots, 1))
 		if z == own || !flow.Accepts(state, claim) || best != nil && free <= bestFree {
 			continue
