Look for servers that are likely to succeed first when a request leaves its zone

Change: suspected servers of other zones count only for late requests that find no others, and for those without servers in their zone.

--- a/pkg/scheduler/zones.go
+++ b/pkg/scheduler/zones.go
@@ -259,18 +259,29 @@
 // of its slots free.
 func (sc *Scheduler) bestElsewhere(now time.Time, own *zoneServers, w *waitingRequest, flow zoneflow.Flow, suspected bool, bestBusy *float64) *server {
 	urgency, claim := math.MaxInt, zoneflow.Guest
+	isLate := sc.isLate(now, w)
 	switch {
 	case sc.isHomeless(now, own):
 		claim = zoneflow.Homeless
-	case suspected || sc.isLate(now, w):
+	case suspected || isLate:
 		urgency, claim = w.urgency(), zoneflow.Late
 	}
+	best := sc.bestAccepting(now, own, w, flow, urgency, claim, false, bestBusy)
+	if best == nil && (isLate || claim == zoneflow.Homeless) {
+		// If the servers of all zones fail, a suspected one is better than none.
+		best = sc.bestAccepting(now, own, w, flow, urgency, claim, true, bestBusy)
+	}
+	return best
+}
+
+// bestAccepting returns the best server of the zone with the largest share of free slots among the other zones that accept a request by a
+// claim. With all set, the slots of servers that are likely to fail count as well.
+func (sc *Scheduler) bestAccepting(now time.Time, own *zoneServers, w *waitingRequest, flow zoneflow.Flow, urgency int, claim zoneflow.Claim, all bool, bestBusy *float64) *server {
 	var best *server
-	bestFree := -1.0
+	bestFree := math.Inf(-1)
 	for _, z := range sc.zones {
 		state := sc.measure(now, z, urgency)
-		if claim != zoneflow.Guest {
-			// If the servers of all zones fail, a suspected one is better than none.
+		if all {
 			state.Free = z.free
 		}
 		free := float64(state.Free-state.Waiting) / float64(max(state.Slots, 1))
--- a/pkg/zoneflow/flow_test.go
+++ b/pkg/zoneflow/flow_test.go
@@ -80,6 +80,9 @@
 	assert.Equal(t, LeaveSuspected, testFlow().Decide(large, suspected, false))
 	suspected.OwnBusy = 0.98
 	assert.Equal(t, Wait, testFlow().Decide(large, suspected, true))
+	assert.Equal(t, Stay, testFlow().Decide(large, Candidates{Own: 0.984, Elsewhere: 0.985}, true))
+	assert.Equal(t, LeaveSuspected, testFlow().Decide(large, Candidates{Own: 0.98, Elsewhere: 0.985}, true))
+	large.Idempotent = true
 	assert.Equal(t, Stay, testFlow().Decide(large, Candidates{Own: 0.98, Elsewhere: 0.985}, true))
 }
 
