--- a/pkg/fairqueue/ahead.go
+++ b/pkg/fairqueue/ahead.go
@@ -49,7 +49,7 @@
 
 // nextCost returns the cost of the item that the flow is served next.
 func (f *flow[S, T]) nextCost(cost func(S) float64) float64 {
-	if key, s := f.next(nil); s != nil {
+	if key, s := f.next(); s != nil {
 		return cost(key)
 	}
 	return 0
--- a/pkg/fairqueue/queue.go
+++ b/pkg/fairqueue/queue.go
@@ -1,5 +1,10 @@
 package fairqueue
 
+import (
+	"cmp"
+	"slices"
+)
+
 // Queue is a hierarchical start-time fair queue. Flows share slot time by weight, and the subqueues of a flow share its
 // time equally. Each subqueue is first in, first out.
 //
@@ -10,6 +15,16 @@
 	length      int
 	// sequence counts the pushes. A new flow or subqueue takes its value, and the lower value goes first at equal start tags.
 	sequence uint64
+	// places is the buffer of sorted.
+	places []place[F, S, T]
+}
+
+// place is a subqueue with its flow and their keys.
+type place[F, S comparable, T any] struct {
+	key         F
+	flow        *flow[S, T]
+	subqueueKey S
+	subqueue    *subqueue[T]
 }
 
 type flow[S comparable, T any] struct {
@@ -61,25 +76,35 @@
 // Pop removes the first item in fair order for which admit returns true, and charges the returned cost to its flow and
 // subqueue. Pop calls admit only for the first item of each subqueue.
 func (q *Queue[F, S, T]) Pop(admit func(T) (cost float64, ok bool)) (T, bool) {
-	tried := map[*subqueue[T]]bool{}
-	for {
-		key, f, subqueueKey, s := q.next(tried)
-		if s == nil {
-			var zero T
-			return zero, false
-		}
-		tried[s] = true
-		cost, ok := admit(s.items[0])
-		if !ok {
+	// Most often the first item is admitted, so the others are sorted only if it is not.
+	first := q.next()
+	if first.subqueue == nil {
+		var zero T
+		return zero, false
+	}
+	if cost, ok := admit(first.subqueue.items[0]); ok {
+		return q.take(first, cost), true
+	}
+	for _, p := range q.sorted() {
+		if p.subqueue == first.subqueue {
 			continue
 		}
-		item := s.items[0]
-		q.charge(f, s, cost)
-		s.items = s.items[1:]
-		q.length--
-		q.removeIdle(key, f, subqueueKey, s)
-		return item, true
+		if cost, ok := admit(p.subqueue.items[0]); ok {
+			return q.take(p, cost), true
+		}
 	}
+	var zero T
+	return zero, false
+}
+
+// take removes the first item of a subqueue and charges its cost.
+func (q *Queue[F, S, T]) take(p place[F, S, T], cost float64) T {
+	item := p.subqueue.items[0]
+	q.charge(p.flow, p.subqueue, cost)
+	p.subqueue.items = p.subqueue.items[1:]
+	q.length--
+	q.removeIdle(p.key, p.flow, p.subqueueKey, p.subqueue)
+	return item
 }
 
 func (q *Queue[F, S, T]) charge(f *flow[S, T], s *subqueue[T], cost float64) {
@@ -89,23 +114,47 @@
 	s.startTag += cost
 }
 
-// next returns the flow and the subqueue to serve next, without the subqueues in tried.
-func (q *Queue[F, S, T]) next(tried map[*subqueue[T]]bool) (key F, best *flow[S, T], subqueueKey S, bestSubqueue *subqueue[T]) {
+// next returns the subqueue to serve next, or a place without a subqueue if the queue is empty.
+func (q *Queue[F, S, T]) next() place[F, S, T] {
+	var best place[F, S, T]
 	for k, f := range q.flows {
-		sk, s := f.next(tried)
-		if s == nil {
+		if best.flow != nil && !f.before(best.flow) {
 			continue
 		}
-		if best == nil || f.startTag < best.startTag || f.startTag == best.startTag && f.sequence < best.sequence {
-			key, best, subqueueKey, bestSubqueue = k, f, sk, s
+		if sk, s := f.next(); s != nil {
+			best = place[F, S, T]{key: k, flow: f, subqueueKey: sk, subqueue: s}
 		}
 	}
-	return key, best, subqueueKey, bestSubqueue
+	return best
+}
+
+// sorted returns all subqueues with items in the order in which they are served.
+func (q *Queue[F, S, T]) sorted() []place[F, S, T] {
+	places := q.places[:0]
+	for k, f := range q.flows {
+		for sk, s := range f.subqueues {
+			if len(s.items) > 0 {
+				places = append(places, place[F, S, T]{key: k, flow: f, subqueueKey: sk, subqueue: s})
+			}
+		}
+	}
+	slices.SortFunc(places, func(a, b place[F, S, T]) int {
+		if a.flow != b.flow {
+			return cmp.Or(cmp.Compare(a.flow.startTag, b.flow.startTag), cmp.Compare(a.flow.sequence, b.flow.sequence))
+		}
+		return cmp.Or(cmp.Compare(a.subqueue.startTag, b.subqueue.startTag), cmp.Compare(a.subqueue.sequence, b.subqueue.sequence))
+	})
+	q.places = places
+	return places
+}
+
+func (f *flow[S, T]) before(other *flow[S, T]) bool {
+	return f.startTag < other.startTag || f.startTag == other.startTag && f.sequence < other.sequence
 }
 
-func (f *flow[S, T]) next(tried map[*subqueue[T]]bool) (key S, best *subqueue[T]) {
+func (f *flow[S, T]) next() (key S, best *subqueue[T]) {
 	for k, s := range f.subqueues {
-		if tried[s] || len(s.items) == 0 {
+		if len(s.items) == 0 {
 			continue
 		}
 		if best == nil || s.startTag < best.startTag || s.startTag == best.startTag && s.sequence < best.sequence {
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -25,6 +25,8 @@
 	zones []*zoneServers
 	// coverageSufficesUntil is the time until which requests that are kept in their zones need not be spread over more servers.
 	coverageSufficesUntil time.Time
+	// zonesPassedAt is the time of the last pass over the queues of all zones.
+	zonesPassedAt time.Time
 	// queues are the waiting requests by urgency. The most urgent come first.
 	queues  []*queue
 	running map[message.TicketID]*attempt
@@ -135,7 +137,7 @@
 	}
 	sc.countDemand(now, r)
 	sc.queue(r.urgency(), sc.queueZone(now, r)).Push(r.Team, 1, r.Route, w)
-	decisions := sc.assignQueued(now)
+	decisions := sc.assignSubmitted(now, w)
 	if !slices.ContainsFunc(decisions, func(decision Decision) bool { return decision.Key == r.Key }) {
 		decisions = append(decisions, Decision{Key: r.Key, ID: r.ID, Code: azuretiller.CodeOK, Queued: true})
 	}
@@ -236,7 +238,7 @@
 			sc.meanSize[a.Route] = float64(bytes)
 		}
 	}
-	return sc.assignQueued(now), true
+	return sc.assignFreed(now, a.server), true
 }
 
 // recordResult updates the state of the server and the average service time of the route.
--- /dev/null
+++ b/pkg/scheduler/zone_pass.go
@@ -0,0 +1,222 @@
+package scheduler
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// zonePassInterval is the least time between two passes over the queues of all zones. A pass tries requests of each queue, which is too
+	// expensive for each request and result.
+	zonePassInterval = 10 * time.Millisecond
+	// shortageShare is the number of waiting requests, as a share of the slots, from which the whole service counts as short.
+	shortageShare = 0.1
+)
+
+func (z *zoneServers) hasFreeCapacity(now time.Time) bool {
+	return slices.ContainsFunc(z.servers, func(s *server) bool { return s.freeCapacity(now) > 0 })
+}
+
+// assignByZone assigns waiting requests to servers, the most urgent first. Among requests of the same priority, those that get a server of
+// their own zone come before those that leave their zone.
+func (sc *Scheduler) assignByZone(now time.Time) []Decision {
+	sc.zonesPassedAt = now
+	for _, z := range sc.zones {
+		// Slots may have become free at the same time.
+		z.measuredAt = time.Time{}
+	}
+	var decisions []Decision
+	for rest := sc.queues; len(rest) > 0; {
+		var sameUrgency []*queue
+		sameUrgency, rest = splitUrgency(rest)
+		// Requests without servers in their own zone get every n-th slot before the requests of the n-1 zones with servers.
+		if int(sc.tickets.last)%(len(sc.zones)+1) == 0 {
+			decisions = sc.drainHomeless(now, sameUrgency, decisions)
+		}
+		for _, q := range sameUrgency {
+			if z := sc.zone(q.zone); q.requests.Len() > 0 && z != nil && z.hasFreeCapacity(now) {
+				decisions = sc.drain(now, q, z, math.MaxInt, decisions)
+			}
+		}
+		// The zone that comes first gets the free slots of others first, so the order changes.
+		for i := range sameUrgency {
+			q := sameUrgency[(i+int(sc.tickets.last))%len(sameUrgency)]
+			if q.requests.Len() > 0 && sc.hasFreeCapacity(now) {
+				decisions = sc.drain(now, q, nil, math.MaxInt, decisions)
+			}
+		}
+	}
+	return decisions
+}
+
+// splitUrgency divides the queues into those of the most urgent requests and the others.
+func splitUrgency(queues []*queue) (first, rest []*queue) {
+	n := 0
+	for n < len(queues) && queues[n].urgency == queues[0].urgency {
+		n++
+	}
+	return queues[:n], queues[n:]
+}
+
+// assignSubmitted assigns waiting requests after a request was added to its queue. Between two passes over all queues only that request is
+// tried. The others waited for a better server or for a slot of their zone when they were tried last.
+func (sc *Scheduler) assignSubmitted(now time.Time, w *waitingRequest) []Decision {
+	if sc.mayPassZones(now) {
+		return sc.assignQueued(now)
+	}
+	for _, q := range sc.queues {
+		if q.urgency != w.urgency() || q.zone != w.Zone {
+			continue
+		}
+		if q.requests.Len() > maxMisses || !sc.hasFreeCapacity(now) {
+			return nil
+		}
+		return sc.tryNext(now, q, func(other *waitingRequest) *server {
+			if other != w {
+				return nil
+			}
+			return sc.chooseByZone(now, w, false)
+		}, nil)
+	}
+	return nil
+}
+
+// assignFreed assigns a waiting request after a slot of a server became free. Between two passes over all queues, only requests of the
+// server's zone are tried and, while the whole service is short, requests of other zones of the same urgency after them.
+func (sc *Scheduler) assignFreed(now time.Time, s *server) []Decision {
+	if sc.mayPassZones(now) {
+		return sc.assignQueued(now)
+	}
+	z := sc.zone(s.Zone)
+	if z == nil || s.freeCapacity(now) <= 0 {
+		return nil
+	}
+	z.measuredAt = time.Time{}
+	for rest := sc.queues; len(rest) > 0; {
+		var sameUrgency []*queue
+		sameUrgency, rest = splitUrgency(rest)
+		if int(sc.tickets.last)%(len(sc.zones)+1) == 0 {
+			if decisions := sc.drainHomeless(now, sameUrgency, nil); len(decisions) > 0 {
+				return decisions
+			}
+		}
+		for _, q := range sameUrgency {
+			if q.zone == s.Zone && q.requests.Len() > 0 {
+				if decisions := sc.drain(now, q, nil, 1, nil); len(decisions) > 0 {
+					return decisions
+				}
+			}
+		}
+		for i := range sameUrgency {
+			q := sameUrgency[(i+int(sc.tickets.last))%len(sameUrgency)]
+			if q.zone == s.Zone || q.requests.Len() == 0 {
+				continue
+			}
+			if decisions := sc.drain(now, q, nil, 1, nil); len(decisions) > 0 {
+				return decisions
+			}
+		}
+	}
+	return nil
+}
+
+// mayPassZones reports whether all queues are passed over at each event, or the last pass was long enough ago.
+func (sc *Scheduler) mayPassZones(now time.Time) bool {
+	return !sc.params.KeepInZone || now.Sub(sc.zonesPassedAt) >= zonePassInterval
+}
+
+// isShort reports whether so many requests wait that the whole service has too few slots.
+func (sc *Scheduler) isShort() bool {
+	return float64(sc.queueLength()) > shortageShare*float64(sc.slots())
+}
+
+// drainHomeless assigns at most one request of each queue whose zone has no usable servers.
+func (sc *Scheduler) drainHomeless(now time.Time, queues []*queue, decisions []Decision) []Decision {
+	for _, q := range queues {
+		if q.requests.Len() > 0 && sc.isHomeless(now, sc.zone(q.zone)) && sc.hasFreeCapacity(now) {
+			decisions = sc.drain(now, q, nil, 1, decisions)
+		}
+	}
+	return decisions
+}
+
+// isHomeless reports whether a zone, which may be nil, has no server that is likely to run a request.
+func (sc *Scheduler) isHomeless(now time.Time, z *zoneServers) bool {
+	if z == nil {
+		return true
+	}
+	z.refresh(now)
+	return z.measured.Slots == 0
+}
+
+// drain assigns requests of one queue until none can be assigned or the limit is reached. With a zone, only servers of that zone are used.
+func (sc *Scheduler) drain(now time.Time, q *queue, only *zoneServers, limit int, decisions []Decision) []Decision {
+	missed := missedRequests{restricted: sc.hasRestrictedServers()}
+	for ; limit > 0 && q.requests.Len() > 0 && missed.count < maxMisses && (only == nil || only.hasFreeCapacity(now)); limit-- {
+		before := len(decisions)
+		decisions = sc.tryNext(now, q, func(w *waitingRequest) *server {
+			if missed.count >= maxMisses {
+				return nil
+			}
+			if missed.covers(w) {
+				missed.count++
+				return nil
+			}
+			chosen := sc.chooseByZone(now, w, only != nil)
+			if chosen == nil {
+				missed.add(w)
+			}
+			return chosen
+		}, decisions)
+		if len(decisions) == before {
+			break
+		}
+	}
+	return decisions
+}
+
+// tryNext assigns the first request in the order of a queue for which a server is chosen.
+func (sc *Scheduler) tryNext(now time.Time, q *queue, choose func(*waitingRequest) *server, decisions []Decision) []Decision {
+	var chosen *server
+	w, ok := q.requests.Pop(func(w *waitingRequest) (float64, bool) {
+		chosen = choose(w)
+		return sc.serviceTimeOf(w.Route).Seconds(), chosen != nil
+	})
+	if !ok {
+		return decisions
+	}
+	sc.zone(chosen.Zone).measuredAt = time.Time{}
+	return append(decisions, sc.assign(now, w, chosen))
+}
+
+// hasRestrictedServers reports whether some VMs may not send requests to some servers.
+func (sc *Scheduler) hasRestrictedServers() bool {
+	return slices.ContainsFunc(sc.servers, func(s *server) bool { return len(s.unreachableUntil)+len(s.pausedFor) > 0 })
+}
+
+// missedRequests are the requests of one queue for which no server was chosen in a pass. Requests like them need not be tried.
+type missedRequests struct {
+	// count is the number of requests without a server, including those that were not tried.
+	count int
+	tried [maxMisses]*waitingRequest
+	n     int
+	// restricted means that requests of different VMs may use different servers.
+	restricted bool
+}
+
+func (m *missedRequests) add(w *waitingRequest) {
+	m.count++
+	if len(w.Tried) == 0 {
+		m.tried[m.n] = w
+		m.n++
+	}
+}
+
+// covers reports whether no server was chosen for a request like this one that has waited for at least as long and has no more time left.
+func (m *missedRequests) covers(w *waitingRequest) bool {
+	return slices.ContainsFunc(m.tried[:m.n], func(o *waitingRequest) bool {
+		return o.Route == w.Route && o.Idempotent == w.Idempotent && o.PreviouslySent == w.PreviouslySent && (!m.restricted || o.Key.From == w.Key.From) &&
+			!w.enqueued.Before(o.enqueued) && w.SoftDeadline.Sub(w.enqueued) >= o.SoftDeadline.Sub(o.enqueued) && w.queueDeadline.Sub(w.enqueued) >= o.queueDeadline.Sub(o.enqueued)
+	})
+}
