Try waiting requests in their own zone first when a slot becomes free

A slot is now offered to requests that stay first, as in a pass over all queues, and left to the next pass if others were free already.

--- a/pkg/scheduler/zone_pass.go
+++ b/pkg/scheduler/zone_pass.go
@@ -93,6 +93,10 @@
 		return nil
 	}
 	z.measuredAt = time.Time{}
+	if z.refresh(now); z.measured.Free > 1 {
+		// Other slots were free, so requests that wait do so for a better server, and lose little until the next pass.
+		return nil
+	}
 	for rest := sc.queues; len(rest) > 0; {
 		var sameUrgency []*queue
 		sameUrgency, rest = splitUrgency(rest)
@@ -102,8 +106,11 @@
 			}
 		}
 		for _, q := range sameUrgency {
-			if q.zone == s.Zone && q.requests.Len() > 0 {
-				if decisions := sc.drain(now, q, nil, 1, nil); len(decisions) > 0 {
+			if q.zone != s.Zone || q.requests.Len() == 0 {
+				continue
+			}
+			for _, only := range []*zoneServers{z, nil} {
+				if decisions := sc.drain(now, q, only, 1, nil); len(decisions) > 0 {
 					return decisions
 				}
 			}
