Measure zones only after a change, and try a submitted request without the others of its queue

Each event measured all zones again, and a request that waits was looked up in the fair order of its queue.

--- a/pkg/fairqueue/ahead.go
+++ b/pkg/fairqueue/ahead.go
@@ -17,12 +17,21 @@
 	total := inFlow
 	for k, f := range q.flows {
 		if k != key {
-			total += min(max((tag-f.startTag)*f.weight, f.nextCost(cost)), f.queued(cost))
+			total += f.aheadOf(tag, cost)
 		}
 	}
 	return total
 }
 
+// aheadOf returns the cost of the items of the flow that are served before the start tag of another one.
+func (f *flow[S, T]) aheadOf(tag float64, cost func(S) float64) float64 {
+	queued, share := f.queued(cost), (tag-f.startTag)*f.weight
+	if share >= queued {
+		return queued
+	}
+	return min(max(share, f.nextCost(cost)), queued)
+}
+
 // ahead returns the cost of the items of the flow that are served before a new item at the end of a subqueue.
 func (f *flow[S, T]) ahead(key S, cost func(S) float64) float64 {
 	tag, total := f.virtualTime, 0.0
@@ -42,7 +51,9 @@
 func (f *flow[S, T]) queued(cost func(S) float64) float64 {
 	total := 0.0
 	for k, s := range f.subqueues {
-		total += float64(len(s.items)) * cost(k)
+		if len(s.items) > 0 {
+			total += float64(len(s.items)) * cost(k)
+		}
 	}
 	return total
 }
--- a/pkg/scheduler/zone_pass.go
+++ b/pkg/scheduler/zone_pass.go
@@ -72,11 +72,15 @@
 		if q.requests.Len() > maxMisses || !sc.hasFreeCapacity(now) {
 			return nil
 		}
-		return sc.tryNext(now, q, func(other *waitingRequest) *server {
-			if other != w {
+		chosen := sc.chooseByZone(now, w, false)
+		if chosen == nil {
+			return nil
+		}
+		return sc.tryNext(now, q, func(next *waitingRequest) *server {
+			if next != w {
 				return nil
 			}
-			return sc.chooseByZone(now, w, false)
+			return chosen
 		}, nil)
 	}
 	return nil
@@ -159,14 +163,14 @@
 
 // drain assigns requests of one queue until none can be assigned or the limit is reached. With a zone, only servers of that zone are used.
 func (sc *Scheduler) drain(now time.Time, q *queue, only *zoneServers, limit int, decisions []Decision) []Decision {
-	missed := missedRequests{restricted: sc.hasRestrictedServers()}
+	missed := missedRequests{}
 	for ; limit > 0 && q.requests.Len() > 0 && missed.count < maxMisses && (only == nil || only.hasFreeCapacity(now)); limit-- {
 		before := len(decisions)
 		decisions = sc.tryNext(now, q, func(w *waitingRequest) *server {
 			if missed.count >= maxMisses {
 				return nil
 			}
-			if missed.covers(w) {
+			if sc.isCovered(w, missed.tried[:missed.n]) {
 				missed.count++
 				return nil
 			}
@@ -208,8 +212,6 @@
 	count int
 	tried [maxMisses]*waitingRequest
 	n     int
-	// restricted means that requests of different VMs may use different servers.
-	restricted bool
 }
 
 func (m *missedRequests) add(w *waitingRequest) {
@@ -220,10 +222,11 @@
 	}
 }
 
-// covers reports whether no server was chosen for a request like this one that has waited for at least as long and has no more time left.
-func (m *missedRequests) covers(w *waitingRequest) bool {
-	return slices.ContainsFunc(m.tried[:m.n], func(o *waitingRequest) bool {
-		return o.Route == w.Route && o.Idempotent == w.Idempotent && o.PreviouslySent == w.PreviouslySent && (!m.restricted || o.Key.From == w.Key.From) &&
-			!w.enqueued.Before(o.enqueued) && w.SoftDeadline.Sub(w.enqueued) >= o.SoftDeadline.Sub(o.enqueued) && w.queueDeadline.Sub(w.enqueued) >= o.queueDeadline.Sub(o.enqueued)
+// isCovered reports whether no server was chosen for a request like this one that has waited for at least as long and has no more time left.
+func (sc *Scheduler) isCovered(w *waitingRequest, missed []*waitingRequest) bool {
+	return slices.ContainsFunc(missed, func(m *waitingRequest) bool {
+		return m.Route == w.Route && m.Idempotent == w.Idempotent && m.PreviouslySent == w.PreviouslySent &&
+			!w.enqueued.Before(m.enqueued) && w.SoftDeadline.Sub(w.enqueued) >= m.SoftDeadline.Sub(m.enqueued) &&
+			w.queueDeadline.Sub(w.enqueued) >= m.queueDeadline.Sub(m.enqueued) && (m.Key.From == w.Key.From || !sc.hasRestrictedServers())
 	})
 }
--- a/pkg/scheduler/zones.go
+++ b/pkg/scheduler/zones.go
@@ -171,9 +171,9 @@
 	return state
 }
 
-// refresh measures the servers of the zone, unless it was done at the same time and no request was assigned since.
+// refresh measures the servers of the zone, unless it was done lately and no slot was taken or freed since.
 func (z *zoneServers) refresh(now time.Time) {
-	if z.measuredAt.Equal(now) {
+	if now.Sub(z.measuredAt) < zonePassInterval {
 		return
 	}
 	z.measured, z.measuredAt, z.bestSuccess, z.free = zoneflow.Zone{}, now, 0, 0
