--- a/pkg/fairqueue/ahead.go
+++ b/pkg/fairqueue/ahead.go
@@ -16,7 +16,7 @@
 	tag := flowStart + inFlow/float64(max(weight, 1))
 	total := inFlow
 	for k, f := range q.flows {
-		if k != key {
+		if k != key && f.length > 0 {
 			total += f.aheadOf(tag, cost)
 		}
 	}
--- a/pkg/fairqueue/queue.go
+++ b/pkg/fairqueue/queue.go
@@ -34,6 +34,8 @@
 	// virtualTime is the virtual time within the flow; the start tags of its subqueues refer to it.
 	virtualTime float64
 	sequence    uint64
+	// length is the number of items of all subqueues.
+	length int
 }
 
 type subqueue[T any] struct {
@@ -70,6 +72,7 @@
 		f.subqueues[subqueueKey] = s
 	}
 	s.items = append(s.items, item)
+	f.length++
 	q.length++
 }
 
@@ -102,6 +105,7 @@
 	item := p.subqueue.items[0]
 	q.charge(p.flow, p.subqueue, cost)
 	p.subqueue.items = p.subqueue.items[1:]
+	p.flow.length--
 	q.length--
 	q.removeIdle(p.key, p.flow, p.subqueueKey, p.subqueue)
 	return item
@@ -118,7 +122,7 @@
 func (q *Queue[F, S, T]) next() place[F, S, T] {
 	var best place[F, S, T]
 	for k, f := range q.flows {
-		if best.flow != nil && !f.before(best.flow) {
+		if f.length == 0 || best.flow != nil && !f.before(best.flow) {
 			continue
 		}
 		if sk, s := f.next(); s != nil {
@@ -132,6 +136,9 @@
 func (q *Queue[F, S, T]) sorted() []place[F, S, T] {
 	places := q.places[:0]
 	for k, f := range q.flows {
+		if f.length == 0 {
+			continue
+		}
 		for sk, s := range f.subqueues {
 			if len(s.items) > 0 {
 				places = append(places, place[F, S, T]{key: k, flow: f, subqueueKey: sk, subqueue: s})
@@ -170,22 +177,16 @@
 	if len(s.items) == 0 && s.startTag <= f.virtualTime {
 		delete(f.subqueues, subqueueKey)
 	}
-	if f.startTag > q.virtualTime {
-		return
-	}
-	for _, other := range f.subqueues {
-		if len(other.items) > 0 {
-			return
-		}
+	if f.length == 0 && f.startTag <= q.virtualTime {
+		delete(q.flows, key)
 	}
-	delete(q.flows, key)
 }
 
 // Remove removes the items for which drop returns true and returns them.
 func (q *Queue[F, S, T]) Remove(drop func(T) bool) []T {
 	var removed []T
 	for key, f := range q.flows {
-		queued := 0
+		f.length = 0
 		for _, s := range f.subqueues {
 			remaining := s.items[:0:0]
 			for _, item := range s.items {
@@ -196,9 +197,9 @@
 				}
 			}
 			s.items = remaining
-			queued += len(remaining)
+			f.length += len(remaining)
 		}
-		if queued == 0 && f.startTag <= q.virtualTime {
+		if f.length == 0 && f.startTag <= q.virtualTime {
 			delete(q.flows, key)
 		}
 	}
--- a/pkg/scheduler/zone_pass.go
+++ b/pkg/scheduler/zone_pass.go
@@ -10,8 +10,6 @@
 	// zonePassInterval is the least time between two passes over the queues of all zones. A pass tries requests of each queue, which is too
 	// expensive for each request and result.
 	zonePassInterval = 10 * time.Millisecond
-	// shortageShare is the number of waiting requests, as a share of the slots, from which the whole service counts as short.
-	shortageShare = 0.1
 )
 
 func (z *zoneServers) hasFreeCapacity(now time.Time) bool {
@@ -87,7 +85,7 @@
 }
 
 // assignFreed assigns a waiting request after a slot of a server became free. Between two passes over all queues, only requests of the
-// server's zone are tried and, while the whole service is short, requests of other zones of the same urgency after them.
+// server's zone are tried, and after them those of other zones with the same urgency.
 func (sc *Scheduler) assignFreed(now time.Time, s *server) []Decision {
 	if sc.mayPassZones(now) {
 		return sc.assignQueued(now)
@@ -96,7 +94,7 @@
 	if z == nil || s.freeCapacity(now) <= 0 {
 		return nil
 	}
-	z.measuredAt = time.Time{}
+	z.addFree(now, s, 1)
 	if z.refresh(now); z.measured.Free > 1 {
 		// Other slots were free, so requests that wait do so for a better server, and lose little until the next pass.
 		return nil
@@ -132,16 +130,19 @@
 	return nil
 }
 
+// addFree adds to the number of free slots after one of a server was taken or freed.
+func (z *zoneServers) addFree(now time.Time, s *server, n int) {
+	z.free = max(z.free+n, 0)
+	if s.success.SuccessProbability(now) >= minTrustedSuccess {
+		z.measured.Free = max(z.measured.Free+n, 0)
+	}
+}
+
 // mayPassZones reports whether all queues are passed over at each event, or the last pass was long enough ago.
 func (sc *Scheduler) mayPassZones(now time.Time) bool {
 	return !sc.params.KeepInZone || now.Sub(sc.zonesPassedAt) >= zonePassInterval
 }
 
-// isShort reports whether so many requests wait that the whole service has too few slots.
-func (sc *Scheduler) isShort() bool {
-	return float64(sc.queueLength()) > shortageShare*float64(sc.slots())
-}
-
 // drainHomeless assigns at most one request of each queue whose zone has no usable servers.
 func (sc *Scheduler) drainHomeless(now time.Time, queues []*queue, decisions []Decision) []Decision {
 	for _, q := range queues {
@@ -197,7 +198,7 @@
 	if !ok {
 		return decisions
 	}
-	sc.zone(chosen.Zone).measuredAt = time.Time{}
+	sc.zone(chosen.Zone).addFree(now, chosen, -1)
 	return append(decisions, sc.assign(now, w, chosen))
 }
 
--- a/pkg/scheduler/zones.go
+++ b/pkg/scheduler/zones.go
@@ -171,7 +171,7 @@
 	return state
 }
 
-// refresh measures the servers of the zone, unless it was done lately and no slot was taken or freed since.
+// refresh measures the servers of the zone, unless it was done lately. In between, addFree counts the slots that are taken and freed.
 func (z *zoneServers) refresh(now time.Time) {
 	if now.Sub(z.measuredAt) < zonePassInterval {
 		return
