Try one waiting request of each kind in a pass

Requests of the same route that have waited long enough for the same choices get the same answer, so only one of them is tried.

--- a/pkg/scheduler/zone_pass.go
+++ b/pkg/scheduler/zone_pass.go
@@ -168,18 +168,7 @@
 	for ; limit > 0 && q.requests.Len() > 0 && missed.count < maxMisses && (only == nil || only.hasFreeCapacity(now)); limit-- {
 		before := len(decisions)
 		decisions = sc.tryNext(now, q, func(w *waitingRequest) *server {
-			if missed.count >= maxMisses {
-				return nil
-			}
-			if sc.isCovered(w, missed.tried[:missed.n]) {
-				missed.count++
-				return nil
-			}
-			chosen := sc.chooseByZone(now, w, only != nil)
-			if chosen == nil {
-				missed.add(w)
-			}
-			return chosen
+			return sc.chooseUnlessMissed(now, w, only != nil, &missed)
 		}, decisions)
 		if len(decisions) == before {
 			break
@@ -207,27 +196,46 @@
 	return slices.ContainsFunc(sc.servers, func(s *server) bool { return len(s.unreachableUntil)+len(s.pausedFor) > 0 })
 }
 
-// missedRequests are the requests of one queue for which no server was chosen in a pass. Requests like them need not be tried.
+// missedRequests are the requests of one queue for which no server was chosen in a pass.
 type missedRequests struct {
 	// count is the number of requests without a server, including those that were not tried.
 	count int
-	tried [maxMisses]*waitingRequest
-	n     int
+	tried []missedRequest
 }
 
-func (m *missedRequests) add(w *waitingRequest) {
-	m.count++
-	if len(w.Tried) == 0 {
-		m.tried[m.n] = w
-		m.n++
-	}
+type missedRequest struct {
+	*waitingRequest
+	stage waitStage
 }
 
-// isCovered reports whether no server was chosen for a request like this one that has waited for at least as long and has no more time left.
-func (sc *Scheduler) isCovered(w *waitingRequest, missed []*waitingRequest) bool {
-	return slices.ContainsFunc(missed, func(m *waitingRequest) bool {
-		return m.Route == w.Route && m.Idempotent == w.Idempotent && m.PreviouslySent == w.PreviouslySent &&
-			!w.enqueued.Before(m.enqueued) && w.SoftDeadline.Sub(w.enqueued) >= m.SoftDeadline.Sub(m.enqueued) &&
-			w.queueDeadline.Sub(w.enqueued) >= m.queueDeadline.Sub(m.enqueued) && (m.Key.From == w.Key.From || !sc.hasRestrictedServers())
-	})
+// waitStage tells which servers a request accepts by the time that it has waited.
+type waitStage struct{ patient, late, awaitsBetter bool }
+
+func (sc *Scheduler) stageOf(now time.Time, w *waitingRequest) waitStage {
+	return waitStage{patient: sc.isPatient(now, w, sc.zone(w.Zone)), late: sc.isLate(now, w), awaitsBetter: now.Before(w.awaitsBetterUntil())}
+}
+
+// chooseUnlessMissed returns the server for a request, or nil if the request should wait. It does not try a request if no server was chosen
+// for one like it.
+func (sc *Scheduler) chooseUnlessMissed(now time.Time, w *waitingRequest, stay bool, missed *missedRequests) *server {
+	if missed.count >= maxMisses {
+		return nil
+	}
+	stage := sc.stageOf(now, w)
+	alike := func(m missedRequest) bool {
+		return m.stage == stage && m.Route == w.Route && m.Idempotent == w.Idempotent && m.PreviouslySent == w.PreviouslySent &&
+			(m.Key.From == w.Key.From || !sc.hasRestrictedServers())
+	}
+	if len(w.Tried) == 0 && slices.ContainsFunc(missed.tried, alike) {
+		missed.count++
+		return nil
+	}
+	chosen := sc.chooseByZone(now, w, stay)
+	if chosen == nil {
+		missed.count++
+		if len(w.Tried) == 0 {
+			missed.tried = append(missed.tried, missedRequest{waitingRequest: w, stage: stage})
+		}
+	}
+	return chosen
 }
--- a/pkg/scheduler/zones.go
+++ b/pkg/scheduler/zones.go
@@ -87,15 +87,12 @@
 // chooseByZone returns the server for a request, or nil if the request should wait. With stay set, it returns only a server of the
 // request's own zone.
 func (sc *Scheduler) chooseByZone(now time.Time, w *waitingRequest, stay bool) *server {
-	flow := zoneflow.Flow{Cost: sc.params.CrossZoneCost, CostPerKiB: sc.params.CrossZoneCostPerKiB}
-	request := zoneflow.Request{
-		Spare: w.SoftDeadline.Sub(w.enqueued) - sc.serviceTimeOf(w.Route), Waited: now.Sub(w.enqueued), Size: sc.meanSize[w.Route], Priority: w.Priority, Idempotent: w.Idempotent,
-	}
+	flow, request := sc.flow(), sc.flowRequest(now, w)
 	own := sc.zone(w.Zone)
 	preferUnused := sc.mayExplore(now, w.Request) && sc.zonesNeedCoverage(now)
 	var candidates zoneflow.Candidates
 	bestBusy := 0.0
-	patient := own != nil && flow.Waits(request, sc.measure(now, own, math.MaxInt), sc.meanServiceTime())
+	patient := sc.isPatient(now, w, own)
 	if patient && !preferUnused && own.free == 0 && own.bestSuccess >= minSureSuccess {
 		return nil
 	}
@@ -140,14 +137,33 @@
 	return best
 }
 
+func (sc *Scheduler) flow() zoneflow.Flow {
+	return zoneflow.Flow{Cost: sc.params.CrossZoneCost, CostPerKiB: sc.params.CrossZoneCostPerKiB}
+}
+
+func (sc *Scheduler) flowRequest(now time.Time, w *waitingRequest) zoneflow.Request {
+	return zoneflow.Request{
+		Spare: w.SoftDeadline.Sub(w.enqueued) - sc.serviceTimeOf(w.Route), Waited: now.Sub(w.enqueued), Size: sc.meanSize[w.Route], Priority: w.Priority, Idempotent: w.Idempotent,
+	}
+}
+
+// isPatient reports whether a request still waits for a slot of its own zone, which may be nil.
+func (sc *Scheduler) isPatient(now time.Time, w *waitingRequest, own *zoneServers) bool {
+	return own != nil && sc.flow().Waits(sc.flowRequest(now, w), sc.measure(now, own, math.MaxInt), sc.meanServiceTime())
+}
+
+// awaitsBetterUntil returns the time until which a request waits for a server that is more likely to succeed.
+func (w *waitingRequest) awaitsBetterUntil() time.Time {
+	if w.Idempotent {
+		return w.enqueued.Add(retryableWait)
+	}
+	return w.betterServerUntil
+}
+
 // awaitsBetter reports whether a request waits although it could get a server, given the values of that server and of the best one without
 // a free slot. A request that is not idempotent waits for the servers of all zones.
 func (sc *Scheduler) awaitsBetter(now time.Time, w *waitingRequest, value, busy float64) bool {
-	until := w.betterServerUntil
-	if w.Idempotent {
-		until = w.enqueued.Add(retryableWait)
-	}
-	if !now.Before(until) {
+	if !now.Before(w.awaitsBetterUntil()) {
 		return false
 	}
 	if !w.Idempotent {
