--- a/cmd/azuretiller/pkg/app/edge.go
+++ b/cmd/azuretiller/pkg/app/edge.go
@@ -37,6 +37,7 @@
 func edgeCommand(out io.Writer) *cobra.Command {
 	var level string
 	var metricsPort int
+	var keepInZone, favorUrgent bool
 	cmd := &cobra.Command{
 		Use:   "edge",
 		Short: "Run one VM of the fleet on the users' platform, with the settings file named in " + platform.SettingsVariable,
@@ -44,19 +45,22 @@
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			ctx, stop := signal.NotifyContext(cmd.Context(), syscall.SIGTERM, syscall.SIGINT)
 			defer stop()
-			return runEdge(ctx, os.Getenv(platform.SettingsVariable), level, metricsPort, out)
+			s, err := platform.LoadSettings(os.Getenv(platform.SettingsVariable))
+			if err != nil {
+				return err
+			}
+			s.KeepInZone, s.FavorUrgent = s.KeepInZone && keepInZone, favorUrgent
+			return runEdge(ctx, s, os.Getenv(platform.SettingsVariable), level, metricsPort, out)
 		},
 	}
 	cmd.Flags().StringVar(&level, "log", "info", "level of the log")
 	cmd.Flags().IntVar(&metricsPort, "metrics-port", 0, "port that serves the metrics at /metrics; 0 disables it")
+	cmd.Flags().BoolVar(&keepInZone, "keep-in-zone", false, "keep requests in their availability zone while that costs less than the bytes, if the settings allow it")
+	cmd.Flags().BoolVar(&favorUrgent, "favor-urgent", false, "favor urgent requests while a service has too little capacity")
 	return cmd
 }
 
-func runEdge(ctx context.Context, file, level string, metricsPort int, out io.Writer) error {
-	s, err := platform.LoadSettings(file)
-	if err != nil {
-		return err
-	}
+func runEdge(ctx context.Context, s platform.Settings, file, level string, metricsPort int, out io.Writer) error {
 	if s.MemoryBytes > 0 {
 		// The limit covers the memory of the runtime but not the program itself.
 		debug.SetMemoryLimit(int64(float64(s.MemoryBytes) * runtimeMemoryShare))
--- a/pkg/edge/control.go
+++ b/pkg/edge/control.go
@@ -305,7 +305,10 @@
 func (e *Edge) params() leader.Params {
 	b := e.processSettings.Bounds
 	return leader.Params{
-		Scheduler:     scheduler.Params{RetryRatio: b.RetryRatio, RetrySlack: b.RetrySlack, CrossZoneCost: crossZoneCost, CrossZoneCostPerKiB: crossZoneCostPerKiB},
+		Scheduler: scheduler.Params{
+			RetryRatio: b.RetryRatio, RetrySlack: b.RetrySlack,
+			CrossZoneCost: crossZoneCost, CrossZoneCostPerKiB: crossZoneCostPerKiB, KeepInZone: e.processSettings.KeepInZone, FavorUrgent: e.processSettings.FavorUrgent,
+		},
 		RateTolerance: rateTolerance(b),
 		Rollout:       rolloutParams(b),
 	}
@@ -340,6 +343,10 @@
 			e.probeVM(e.runCtx, e.leader.Term(), v.Address)
 		case leader.ReadRollouts, leader.StoreRollout, leader.ReportRollout:
 			e.callRollouts(e.runCtx, e.leader.Term(), v)
+		case leader.CountCrossing:
+			e.common.Metrics.Tagged(map[string]string{"reason": v.Reason}).Counter("zone_crossings").Inc(1)
+		case leader.CountRefusal:
+			e.common.Metrics.Tagged(map[string]string{"reason": v.Reason}).Counter("refusals").Inc(1)
 		case leader.LogLine:
 			e.logEvent(v.Name, v.Fields)
 		}
@@ -377,10 +384,11 @@
 		LeaderReachable: e.member.LeaderReachable(now),
 		Isolated:        e.member.LeaderUnreachableFor(now) > isolatedAfter,
 		// The time counts from the start of the VM if no leader has answered yet; requests then also wait for the first configuration.
-		LeaderExpected: e.member.LeaderUnreachableFor(now) < leaderExpectedFor,
-		Leaving:        e.leaving,
-		Members:        view.Members,
-		Servers:        closeUnrenewed(view.Servers, e.member.ViewLeaseAge(now)),
+		LeaderExpected:   e.member.LeaderUnreachableFor(now) < leaderExpectedFor,
+		Leaving:          e.leaving,
+		SpreadRetryAfter: e.processSettings.FavorUrgent,
+		Members:          view.Members,
+		Servers:          closeUnrenewed(view.Servers, e.member.ViewLeaseAge(now)),
 	}
 	listed := listedServers{term: view.Term, version: view.Version}
 	if !s.LeaderReachable && now.Sub(e.reads.lastRegistryRead()) < maxOwnServersAge && e.member.LeaderUnreachableFor(now) > leaderlessReadAfter {
--- a/pkg/gateway/state.go
+++ b/pkg/gateway/state.go
@@ -22,8 +22,10 @@
 	// Isolated means that the VM has not reached the leader for so long that Members may contain VMs that are down.
 	Isolated bool
 	Leaving  bool
-	Members  []message.Member
-	Servers  []message.Server
+	// SpreadRetryAfter means that callers which are refused together get different Retry-After times.
+	SpreadRetryAfter bool
+	Members          []message.Member
+	Servers          []message.Server
 }
 
 // Ready reports whether the VM can serve callers.
--- a/pkg/leader/effect.go
+++ b/pkg/leader/effect.go
@@ -7,8 +7,8 @@
 	"github.com/azuretiller/azuretiller/pkg/message"
 )
 
-// Effect is an action that the process carries out for the leader: a Send, a ReadLeader, a WriteRates, a LogLine, a ProbeVM, or one of the calls
-// to the store about rollouts.
+// Effect is an action that the process carries out for the leader: a Send, a ReadLeader, a WriteRates, a CountCrossing, a CountRefusal, a LogLine,
+// a ProbeVM, or one of the calls to the store about rollouts.
 type Effect interface{ effect() }
 
 // Send sends a message to a VM; To is its host:port.
@@ -24,6 +24,12 @@
 // the result to RatesWritten.
 type WriteRates struct{ Rates azuretiller.RateLedger }
 
+// CountCrossing counts an attempt that was placed in another availability zone than its VM, by the reason that the scheduler gave.
+type CountCrossing struct{ Reason string }
+
+// CountRefusal counts a request that was refused since there is too little capacity, by the reason that the scheduler gave.
+type CountRefusal struct{ Reason string }
+
 // LogLine writes a log line.
 type LogLine struct {
 	Name   string
@@ -35,3 +41,6 @@
 
 func (ReadLeader) effect() {}
 func (WriteRates) effect() {}
+
+func (CountCrossing) effect() {}
+func (CountRefusal) effect()  {}
--- a/pkg/leader/requests.go
+++ b/pkg/leader/requests.go
@@ -65,6 +65,7 @@
 		Team:            request.Team,
 		Route:           request.Route,
 		Priority:        request.Priority,
+		Shared:          l.params.Scheduler.FavorUrgent && len(request.Backends) > 1,
 		Idempotent:      request.Idempotent,
 		SubmittedBefore: request.Attempt > 1,
 		PreviouslySent:  request.Attempt > 1 && (request.Hedge || request.LastReport == nil || request.LastReport.Result.Sent()),
@@ -116,6 +117,12 @@
 			}
 		}
 		effects = append(effects, l.decisionLogLine(service, d))
+		if d.Refusal != "" {
+			effects = append(effects, CountRefusal{Reason: string(d.Refusal)})
+		}
+		if d.CrossZone && l.params.Scheduler.KeepInZone {
+			effects = append(effects, CountCrossing{Reason: d.Crossing.String()})
+		}
 	}
 	return effects
 }
@@ -127,6 +134,9 @@
 		return LogLine{"queued", fields}
 	case d.Code != azuretiller.CodeOK:
 		fields["retry_after"] = d.RetryAfter
+		if d.Refusal != "" {
+			fields["why"] = string(d.Refusal)
+		}
 		return LogLine{"refused", fields}
 	}
 	fields["ticket"] = d.Ticket
@@ -135,6 +145,9 @@
 	fields["busy"] = d.Busy
 	fields["queued"] = d.QueueTime
 	fields["crossed"] = d.CrossZone
+	if d.CrossZone && l.params.Scheduler.KeepInZone {
+		fields["crossed_why"] = d.Crossing.String()
+	}
 	return LogLine{"placed", fields}
 }
 
--- a/pkg/scheduler/params.go
+++ b/pkg/scheduler/params.go
@@ -12,6 +12,12 @@
 	// answer. CrossZoneCostPerKiB is the additional cost of each 1,024 bytes of the bodies of request and answer.
 	CrossZoneCost       float64
 	CrossZoneCostPerKiB float64
+	// KeepInZone means that requests wait for slots of their own availability zone and leave it by the rules of package zoneflow. Without it,
+	// the costs above only lower the score of servers in other zones.
+	KeepInZone bool
+	// FavorUrgent means that requests that other services could run yield to the service's own, that requests are refused at once if more urgent
+	// ones would overtake them, and that a part of the retry budget is kept for the most urgent ones.
+	FavorUrgent bool
 }
 
 const (
@@ -111,7 +117,7 @@
 	minHealthyCoverage = 0.9
 	// minRecoveredCoverage is the share that is kept in use of the healthy servers and of those whose last failure was between
 	// recoveredAfter and healthyAfter ago. The operators require 0.7 of both together.
-	minRecoveredCoverage = 0.75
+	minRecoveredCoverage = 0.72
 	// coverageBonus raises the score of a server without a request in coverageWindow while more servers must be in use.
 	coverageBonus = 0.6
 )
--- a/pkg/scheduler/queue.go
+++ b/pkg/scheduler/queue.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -17,18 +18,27 @@
 	return now.Add(wait)
 }
 
-// expectedWait estimates how long a new request with a priority would wait for a slot.
-func (sc *Scheduler) expectedWait(priority int) time.Duration {
-	ahead := 0
+// expectedWait estimates how long a new request would wait for a slot. All waiting requests that are more urgent are served before it,
+// and of those with its priority the ones that the fair order of teams and routes puts before it.
+// More urgent requests that arrive meanwhile take the slots that they took lately.
+func (sc *Scheduler) expectedWait(now time.Time, r Request) time.Duration {
+	ahead := 0.0
+	cost := func(route azuretiller.RouteID) float64 { return sc.serviceTimeOf(route).Seconds() }
 	for _, q := range sc.queues {
-		if q.priority <= priority {
-			ahead += q.requests.Len()
+		switch {
+		case q.urgency < r.urgency():
+			ahead += float64(q.requests.Len()) * sc.meanServiceTime().Seconds()
+		case q.urgency == r.urgency():
+			ahead += q.requests.Ahead(r.Team, 1, r.Route, cost)
 		}
 	}
-	if ahead == 0 {
+	urgent := sc.urgentDemand(now, r)
+	if ahead == 0 && (urgent == 0 || sc.hasFreeCapacity(now)) {
 		return 0
 	}
-	return sc.meanServiceTime() * time.Duration(ahead+1) / time.Duration(max(sc.slots(), 1))
+	slots := float64(max(sc.slots(), 1))
+	left := max(slots-urgent, minLeftShare*slots)
+	return time.Duration((ahead + cost(r.Route)) / left * float64(time.Second))
 }
 
 func (sc *Scheduler) slots() int {
@@ -74,12 +84,16 @@
 	return initialServiceTime
 }
 
-// queue returns the queue of a priority and creates it if there is none.
-func (sc *Scheduler) queue(priority int) *fairqueue.Queue[azuretiller.TeamID, azuretiller.RouteID, *waitingRequest] {
-	i, found := slices.BinarySearchFunc(sc.queues, priority, func(q *queue, p int) int { return q.priority - p })
+// queue returns the queue of an urgency and a zone and creates it if there is none. The zone is empty unless requests are kept in their
+// zones.
+func (sc *Scheduler) queue(urgency int, zone azuretiller.Zone) *fairqueue.Queue[azuretiller.TeamID, azuretiller.RouteID, *waitingRequest] {
+	i, found := slices.BinarySearchFunc(sc.queues, urgency, func(q *queue, u int) int {
+		return cmp.Or(cmp.Compare(q.urgency, u), cmp.Compare(q.zone, zone))
+	})
 	if !found {
 		sc.queues = slices.Insert(sc.queues, i, &queue{
-			priority: priority,
+			urgency:  urgency,
+			zone:     zone,
 			requests: fairqueue.New[azuretiller.TeamID, azuretiller.RouteID, *waitingRequest](),
 		})
 	}
--- a/pkg/scheduler/request.go
+++ b/pkg/scheduler/request.go
@@ -5,6 +5,7 @@
 
 	"github.com/azuretiller/azuretiller"
 	"github.com/azuretiller/azuretiller/pkg/message"
+	"github.com/azuretiller/azuretiller/pkg/zoneflow"
 )
 
 // Request is one attempt at a caller's request that needs a backend server.
@@ -19,7 +20,9 @@
 	// Route selects the average service time and body size that the scheduler learned from earlier answers.
 	Route azuretiller.RouteID
 	// Priority is 0 for the most urgent requests and larger for others.
-	Priority   int
+	Priority int
+	// Shared means that the service is only one of several that serve the route.
+	Shared     bool
 	Idempotent bool
 	// SubmittedBefore means that an earlier attempt of the caller's request was submitted.
 	SubmittedBefore bool
@@ -48,7 +51,9 @@
 	// Code is CodeOK if the request got a server or waits. Otherwise it is the reason why the request is rejected.
 	Code       azuretiller.Code
 	RetryAfter time.Duration
-	Queued     bool
+	// Refusal is why a request with CodeOverloaded was rejected.
+	Refusal Refusal
+	Queued  bool
 	// SuccessProbability is the probability that the server answers the request, and Busy the number of requests that ran
 	// on it when it was chosen.
 	SuccessProbability float64
@@ -56,6 +61,8 @@
 	QueueTime          time.Duration
 	// CrossZone means that the server is in a different availability zone from the VM.
 	CrossZone bool
+	// Crossing is why the request left its zone, if requests are kept in their zones.
+	Crossing zoneflow.Verdict
 	// Route, SubmittedBefore, Deadline and Fingerprint are copied from the request.
 	Route           azuretiller.RouteID
 	SubmittedBefore bool
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -21,7 +21,13 @@
 	successModel    *health.Model
 	acceptanceModel *health.Model
 	servers         []*server
-	// queues are the waiting requests by priority. Priority 0 is the most urgent and comes first.
+	// zones are the servers by availability zone.
+	zones []*zoneServers
+	// coverageSufficesUntil is the time until which requests that are kept in their zones need not be spread over more servers.
+	coverageSufficesUntil time.Time
+	// zonesPassedAt is the time of the last pass over the queues of all zones.
+	zonesPassedAt time.Time
+	// queues are the waiting requests by urgency. The most urgent come first.
 	queues  []*queue
 	running map[message.TicketID]*attempt
 	// serviceTimes are the moving averages of the service time of each route.
@@ -29,7 +35,9 @@
 	// meanSize is the moving average of the size of the bodies of request and answer of each route, in bytes.
 	meanSize    map[azuretiller.RouteID]float64
 	retryBudget *retrybudget.Budget
-	outcomes    outcomeWindow
+	// demands are the recent demands by urgency, the most urgent first.
+	demands  []*demand
+	outcomes outcomeWindow
 	// idempotentStarts are the recent starts of idempotent requests.
 	idempotentStarts eventWindow
 	// exposer admits attempts on servers with Trial; it is nil if there are none.
@@ -37,7 +45,8 @@
 }
 
 type queue struct {
-	priority int
+	urgency  int
+	zone     azuretiller.Zone
 	requests *fairqueue.Queue[azuretiller.TeamID, azuretiller.RouteID, *waitingRequest]
 }
 
@@ -47,6 +56,8 @@
 	queueDeadline time.Time
 	// betterServerUntil is the time until which the request waits for a server that is more likely to succeed.
 	betterServerUntil time.Time
+	// zoneWait is the wait for a slot of the request's own zone, if requests are kept in their zones.
+	zoneWait zoneWait
 }
 
 // attempt is a request that runs on a server.
@@ -104,6 +115,7 @@
 		next = append(next, s)
 	}
 	sc.servers = next
+	sc.groupByZone()
 	return sc.assignQueued(now)
 }
 
@@ -116,15 +128,18 @@
 	if code := sc.serverCode(r, now); code != azuretiller.CodeOK {
 		return []Decision{sc.reject(now, r, code, noServerWait)}
 	}
-	if r.PreviouslySent && !sc.retryBudget.Withdraw() {
-		return []Decision{sc.reject(now, r, azuretiller.CodeOverloaded, sc.drainTime())}
+	if r.PreviouslySent {
+		if why := sc.withdrawRetry(now, r); why != "" {
+			return []Decision{sc.refuse(now, r, why, sc.drainTime())}
+		}
 	}
 	w := &waitingRequest{Request: r, enqueued: now, queueDeadline: queueDeadline(now, r), betterServerUntil: now.Add(betterServerWait)}
-	if wait := sc.expectedWait(r.Priority); now.Add(wait).After(w.queueDeadline) {
-		return []Decision{sc.reject(now, r, azuretiller.CodeOverloaded, wait)}
+	if wait := sc.expectedWait(now, r); now.Add(wait).After(w.queueDeadline) {
+		return []Decision{sc.refuse(now, r, WaitTooLong, sc.retryAfter(wait))}
 	}
-	sc.queue(r.Priority).Push(r.Team, 1, r.Route, w)
-	decisions := sc.assignQueued(now)
+	sc.countDemand(now, r)
+	sc.queue(r.urgency(), sc.queueZone(now, r)).Push(r.Team, 1, r.Route, w)
+	decisions := sc.assignSubmitted(now, w)
 	if !slices.ContainsFunc(decisions, func(decision Decision) bool { return decision.Key == r.Key }) {
 		decisions = append(decisions, Decision{Key: r.Key, ID: r.ID, Code: azuretiller.CodeOK, Queued: true})
 	}
@@ -149,6 +164,9 @@
 
 // assignQueued assigns waiting requests to servers, the most urgent first.
 func (sc *Scheduler) assignQueued(now time.Time) []Decision {
+	if sc.params.KeepInZone {
+		return sc.assignByZone(now)
+	}
 	var decisions []Decision
 	misses := 0
 	for _, q := range sc.queues {
@@ -186,6 +204,7 @@
 		Busy:               s.busy,
 		QueueTime:          now.Sub(w.enqueued),
 		CrossZone:          s.Zone != w.Zone,
+		Crossing:           w.zoneWait.verdict,
 
 		Route:           w.Route,
 		SubmittedBefore: w.SubmittedBefore,
@@ -226,7 +245,7 @@
 			sc.meanSize[a.Route] = float64(bytes)
 		}
 	}
-	return sc.assignQueued(now), true
+	return sc.assignFreed(now, a.server), true
 }
 
 // recordResult updates the state of the server and the average service time of the route.
