Explain where a request would be sent, without sending it

Operators could see from /dump what the placement depends on, but not where a given request would go and why.

`tillerctl explain` asks a VM over its listener for other VMs. The VM reports what it knows itself and asks the leader, for 300 ms at most; without an answer it explains the placement by its own view. The scheduler decides on a copy of its servers, so estimates, windows and pauses stay as they are, and the parts of a score are differences of the existing score function. Two explanations run at a time for operators and two for other VMs, each for at least 0.1 s. The key is sent in the body only and occurs in no answer, error or log line.

--- a/cmd/tillerctl/pkg/app/app.go
+++ b/cmd/tillerctl/pkg/app/app.go
@@ -81,7 +81,7 @@
 	f.BoolVar(&c.printJSON, "json", false, "print JSON for scripts")
 	f.StringVar(&c.operator, "operator", envOr("USER", "operator"), "operator name that is recorded in the history")
 	f.StringVar(&c.comment, "comment", "", "reason that is recorded in the history")
-	root.AddCommand(c.treeCommand(), c.teamCommand(), c.keyCommand(), c.zoneCommand(), c.vmCommand(), c.dumpCommand(), c.serviceCommand(), c.codeCommand())
+	root.AddCommand(c.treeCommand(), c.teamCommand(), c.keyCommand(), c.zoneCommand(), c.vmCommand(), c.dumpCommand(), c.serviceCommand(), c.codeCommand(), c.explainCommand())
 	return root
 }
 
--- a/pkg/edge/routes.go
+++ b/pkg/edge/routes.go
@@ -5,6 +5,7 @@
 
 	"github.com/go-chi/chi/v5"
 
+	"github.com/azuretiller/azuretiller/pkg/explanation"
 	"github.com/azuretiller/azuretiller/pkg/gateway"
 	"github.com/azuretiller/azuretiller/platform"
 )
@@ -36,5 +37,8 @@
 	r := chi.NewRouter()
 	r.Get(configPath, e.serveConfig)
 	r.Get(dumpPath, e.serveDump)
+	x := newExplainer(e)
+	r.Post(explanation.Path, x.serve)
+	r.Post(explanation.LeaderPath, x.servePlacement)
 	return r
 }
--- /dev/null
+++ b/pkg/explanation/doc.go
@@ -0,0 +1,2 @@
+// Package explanation contains the description of where a request would be sent and why.
+package explanation
