--- a/cmd/tillerctl/pkg/app/explain.go
+++ b/cmd/tillerctl/pkg/app/explain.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
@@ -34,6 +35,9 @@
 				return errors.Wrap(errUsage, "set --host and --path")
 			}
 			r.Zone = azuretiller.Zone(zone)
+			if r.Key == "" {
+				r.Key = os.Getenv("TILLERCTL_KEY")
+			}
 			answer, err := askExplanation(cmd.Context(), c.address, r)
 			if err != nil {
 				return err
@@ -48,7 +52,7 @@
 	f.StringVar(&r.Host, "host", "", "host name of the request")
 	f.StringVar(&r.Path, "path", "", "path of the request")
 	f.StringVar(&r.Method, "method", http.MethodGet, "method of the request")
-	f.StringVar(&r.Key, "key", "", "the caller's API key")
+	f.StringVar(&r.Key, "key", "", "the caller's API key; TILLERCTL_KEY by default")
 	f.StringVar(&zone, "zone", "", "availability zone of the VM that the caller uses; the zone of the asked VM by default")
 	return cmd
 }
