--- a/pkg/scheduler/explain_test.go
+++ b/pkg/scheduler/explain_test.go
@@ -139,3 +139,28 @@
 	assert.Equal(t, 2*explanation.MaxServers, e.OmittedServers)
 	assert.Equal(t, e.Result.Server, e.Servers[0].ID)
 }
+
+// explainedExposer admits attempts on servers on trial, and counts the calls of Expose.
+type explainedExposer struct{ exposed int }
+
+func (e *explainedExposer) MayExpose(time.Time, azuretiller.RouteID, azuretiller.InstanceID) bool {
+	return true
+}
+
+func (e *explainedExposer) Expose(time.Time, azuretiller.RouteID, azuretiller.InstanceID) bool {
+	e.exposed++
+	return true
+}
+
+// TestExplainUsesNoExposure guards against explanations that use up the exposure of a version on trial.
+func TestExplainUsesNoExposure(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	sc := New(Params{}, invariant.NewPanicking(), NewTickets(0))
+	exposer := &explainedExposer{}
+	sc.SetExposer(exposer)
+	sc.SetServers(now, []Server{{ID: "old", Slots: 1}, {ID: "new", Slots: 1, Trial: true}})
+	e := sc.Explain(now, Request{Deadline: now.Add(time.Second)})
+	assert.Equal(t, azuretiller.InstanceID("new"), e.Result.Server)
+	assert.Equal(t, []string{"on trial"}, e.Servers[0].State)
+	assert.Zero(t, exposer.exposed)
+}
