Let explanations use the queues by urgency and zone

The copy that an explanation works on gets its own demands and zones, which are updated when they are read.

--- a/pkg/scheduler/explain.go
+++ b/pkg/scheduler/explain.go
@@ -59,12 +59,28 @@
 		probe.servers = append(probe.servers, &c)
 	}
 	// Submit queues the request before it chooses a server, and the length of the queue counts there.
-	own := &queue{priority: math.MaxInt, requests: fairqueue.New[azuretiller.TeamID, azuretiller.RouteID, *waitingRequest]()}
+	own := &queue{urgency: math.MaxInt, requests: fairqueue.New[azuretiller.TeamID, azuretiller.RouteID, *waitingRequest]()}
 	own.requests.Push("", 1, "", &waitingRequest{})
 	probe.queues = append(slices.Clone(sc.queues), own)
+	probe.demands = nil
+	for _, d := range sc.demands {
+		c := *d
+		probe.demands = append(probe.demands, &c)
+	}
+	if sc.params.KeepInZone {
+		probe.groupByZone()
+	}
 	return &probe
 }
 
+// chooseExplained chooses as assignQueued does. It is called on a probe.
+func (sc *Scheduler) chooseExplained(now time.Time, w *waitingRequest) *server {
+	if sc.params.KeepInZone {
+		return sc.chooseByZone(now, w, false)
+	}
+	return sc.choose(now, w)
+}
+
 // explainResult repeats the steps of Submit. It is called on a probe.
 func (sc *Scheduler) explainResult(now time.Time, w *waitingRequest) explanation.Result {
 	refuse := func(code azuretiller.Code, retryAfter time.Duration, reason string) explanation.Result {
@@ -78,20 +94,20 @@
 		return refuse(code, noServerWait, "The service has no open server.")
 	}
 	maxWait := w.queueDeadline.Sub(now)
-	wait := sc.expectedWait(w.Priority)
+	wait := sc.expectedWait(now, w.Request)
 	if wait > maxWait {
 		return refuse(azuretiller.CodeOverloaded, wait, fmt.Sprintf("The expected wait of %s exceeds the longest allowed wait of %s.", rounded(wait), rounded(maxWait)))
 	}
 	first, heads := 0, 0
 	for _, q := range sc.queues {
-		if q.priority <= w.Priority {
+		if q.urgency <= w.urgency() {
 			heads += q.requests.Heads()
 		}
-		if q.priority == w.Priority {
-			first = q.requests.LenOf(w.Team, w.Route)
+		if q.urgency == w.urgency() {
+			first += q.requests.LenOf(w.Team, w.Route)
 		}
 	}
-	chosen := sc.choose(now, w)
+	chosen := sc.chooseExplained(now, w)
 	if chosen != nil && first == 0 && heads < maxMisses {
 		return explanation.Result{
 			Outcome: explanation.Placed, Code: azuretiller.CodeOK, Server: chosen.ID,
