--- a/pkg/scheduler/zone_pass.go
+++ b/pkg/scheduler/zone_pass.go
@@ -119,7 +119,7 @@
 		}
 		for i := range sameUrgency {
 			q := sameUrgency[(i+int(sc.tickets.last))%len(sameUrgency)]
-			if q.zone == s.Zone || q.requests.Len() == 0 {
+			if q.zone == s.Zone || q.requests.Len() == 0 || !sc.mayEnter(now, q, z) {
 				continue
 			}
 			if decisions := sc.drain(now, q, nil, 1, nil); len(decisions) > 0 {
@@ -130,6 +130,11 @@
 	return nil
 }
 
+// mayEnter reports whether a zone with at most one free slot may accept requests of the queue of another zone. It has no slots for guests.
+func (sc *Scheduler) mayEnter(now time.Time, q *queue, z *zoneServers) bool {
+	return z.free > sc.measure(now, z, q.urgency).Waiting || sc.isHomeless(now, sc.zone(q.zone))
+}
+
 // addFree adds to the number of free slots after one of a server was taken or freed.
 func (z *zoneServers) addFree(now time.Time, s *server, n int) {
 	z.free = max(z.free+n, 0)
@@ -201,6 +206,8 @@
 	// count is the number of requests without a server, including those that were not tried.
 	count int
 	tried []missedRequest
+	// restricted is hasRestrictedServers at the time of the first of them.
+	restricted bool
 }
 
 type missedRequest struct {
@@ -224,7 +231,7 @@
 	stage := sc.stageOf(now, w)
 	alike := func(m missedRequest) bool {
 		return m.stage == stage && m.Route == w.Route && m.Idempotent == w.Idempotent && m.PreviouslySent == w.PreviouslySent &&
-			(m.Key.From == w.Key.From || !sc.hasRestrictedServers())
+			(m.Key.From == w.Key.From || !missed.restricted)
 	}
 	if len(w.Tried) == 0 && slices.ContainsFunc(missed.tried, alike) {
 		missed.count++
@@ -234,6 +241,7 @@
 	if chosen == nil {
 		missed.count++
 		if len(w.Tried) == 0 {
+			missed.restricted = missed.restricted || len(missed.tried) == 0 && sc.hasRestrictedServers()
 			missed.tried = append(missed.tried, missedRequest{waitingRequest: w, stage: stage})
 		}
 	}
