Leave out the part of a pass in which no request can stay

If the best server of a zone is not good enough to stay for the largest bodies, the queue of the zone is not passed over twice.

--- a/pkg/scheduler/zone_pass.go
+++ b/pkg/scheduler/zone_pass.go
@@ -4,6 +4,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/azuretiller/azuretiller/pkg/zoneflow"
 )
 
 const (
@@ -33,7 +35,7 @@
 			decisions = sc.drainHomeless(now, sameUrgency, decisions)
 		}
 		for _, q := range sameUrgency {
-			if z := sc.zone(q.zone); q.requests.Len() > 0 && z != nil && z.hasFreeCapacity(now) {
+			if z := sc.zone(q.zone); q.requests.Len() > 0 && z != nil && z.hasFreeCapacity(now) && sc.mayStay(now, z) {
 				decisions = sc.drain(now, q, z, math.MaxInt, decisions)
 			}
 		}
@@ -112,6 +114,9 @@
 				continue
 			}
 			for _, only := range []*zoneServers{z, nil} {
+				if only != nil && !sc.mayStay(now, z) {
+					continue
+				}
 				if decisions := sc.drain(now, q, only, 1, nil); len(decisions) > 0 {
 					return decisions
 				}
@@ -130,6 +135,24 @@
 	return nil
 }
 
+// mayStay reports whether some request of a zone may prefer its best server to any server elsewhere, by the largest bodies.
+func (sc *Scheduler) mayStay(now time.Time, z *zoneServers) bool {
+	if sc.zonesNeedCoverage(now) {
+		return true
+	}
+	size := 0.0
+	for _, s := range sc.meanSize {
+		size = max(size, s)
+	}
+	z.refresh(now)
+	return sc.flow().Decide(zoneflow.Request{Size: size, Idempotent: true}, z.bestCandidates(), false) == zoneflow.Stay
+}
+
+// bestCandidates returns the highest possible values of the servers of the zone and of those elsewhere.
+func (z *zoneServers) bestCandidates() zoneflow.Candidates {
+	return zoneflow.Candidates{Own: 1 - retryableDiscount*(1-z.bestSuccess), Elsewhere: 1}
+}
+
 // mayEnter reports whether a zone with at most one free slot may accept requests of the queue of another zone. It has no slots for guests.
 func (sc *Scheduler) mayEnter(now time.Time, q *queue, z *zoneServers) bool {
 	return z.free > sc.measure(now, z, q.urgency).Waiting || sc.isHomeless(now, sc.zone(q.zone))
--- a/pkg/scheduler/zones.go
+++ b/pkg/scheduler/zones.go
@@ -96,12 +96,8 @@
 	if patient && !preferUnused && own.free == 0 && own.bestSuccess >= minSureSuccess {
 		return nil
 	}
-	if stay && !preferUnused {
-		// No server of the zone has a higher value.
-		limit := zoneflow.Candidates{Own: 1 - retryableDiscount*(1-own.bestSuccess), Elsewhere: 1}
-		if flow.Decide(request, limit, false) != zoneflow.Stay {
-			return nil
-		}
+	if stay && !preferUnused && flow.Decide(request, own.bestCandidates(), false) != zoneflow.Stay {
+		return nil
 	}
 	best := sc.bestOf(now, own, w, preferUnused, &candidates.OwnBusy)
 	w.zoneWait.verdict = zoneflow.Stay
