--- a/pkg/scheduler/zone_pass.go
+++ b/pkg/scheduler/zone_pass.go
@@ -4,6 +4,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/azuretiller/azuretiller/pkg/zoneflow"
 )
 
 const (
@@ -33,7 +35,7 @@
 			decisions = sc.drainHomeless(now, sameUrgency, decisions)
 		}
 		for _, q := range sameUrgency {
-			if z := sc.zone(q.zone); q.requests.Len() > 0 && z != nil && z.hasFreeCapacity(now) {
+			if z := sc.zone(q.zone); q.requests.Len() > 0 && z != nil && z.hasFreeCapacity(now) && sc.mayStay(now, z) {
 				decisions = sc.drain(now, q, z, math.MaxInt, decisions)
 			}
 		}
@@ -112,6 +114,9 @@
 				continue
 			}
 			for _, only := range []*zoneServers{z, nil} {
+				if only != nil && !sc.mayStay(now, z) {
+					continue
+				}
 				if decisions := sc.drain(now, q, only, 1, nil); len(decisions) > 0 {
 					return decisions
 				}
@@ -119,7 +124,7 @@
 		}
 		for i := range sameUrgency {
 			q := sameUrgency[(i+int(sc.tickets.last))%len(sameUrgency)]
-			if q.zone == s.Zone || q.requests.Len() == 0 {
+			if q.zone == s.Zone || q.requests.Len() == 0 || !sc.mayEnter(now, q, z) {
 				continue
 			}
 			if decisions := sc.drain(now, q, nil, 1, nil); len(decisions) > 0 {
@@ -130,6 +135,29 @@
 	return nil
 }
 
+// mayStay reports whether some request of a zone may prefer its best server to any server elsewhere, by the largest bodies.
+func (sc *Scheduler) mayStay(now time.Time, z *zoneServers) bool {
+	if sc.zonesNeedCoverage(now) {
+		return true
+	}
+	size := 0.0
+	for _, s := range sc.meanSize {
+		size = max(size, s)
+	}
+	z.refresh(now)
+	return sc.flow().Decide(zoneflow.Request{Size: size, Idempotent: true}, z.bestCandidates(), false) == zoneflow.Stay
+}
+
+// bestCandidates returns the highest possible values of the servers of the zone and of those elsewhere.
+func (z *zoneServers) bestCandidates() zoneflow.Candidates {
+	return zoneflow.Candidates{Own: 1 - retryableDiscount*(1-z.bestSuccess), Elsewhere: 1}
+}
+
+// mayEnter reports whether a zone with at most one free slot may accept requests of the queue of another zone. It has no slots for guests.
+func (sc *Scheduler) mayEnter(now time.Time, q *queue, z *zoneServers) bool {
+	return z.free > sc.measure(now, z, q.urgency).Waiting || sc.isHomeless(now, sc.zone(q.zone))
+}
+
 // addFree adds to the number of free slots after one of a server was taken or freed.
 func (z *zoneServers) addFree(now time.Time, s *server, n int) {
 	z.free = max(z.free+n, 0)
@@ -201,6 +229,8 @@
 	// count is the number of requests without a server, including those that were not tried.
 	count int
 	tried []missedRequest
+	// restricted is hasRestrictedServers at the time of the first of them.
+	restricted bool
 }
 
 type missedRequest struct {
@@ -224,7 +254,7 @@
 	stage := sc.stageOf(now, w)
 	alike := func(m missedRequest) bool {
 		return m.stage == stage && m.Route == w.Route && m.Idempotent == w.Idempotent && m.PreviouslySent == w.PreviouslySent &&
-			(m.Key.From == w.Key.From || !sc.hasRestrictedServers())
+			(m.Key.From == w.Key.From || !missed.restricted)
 	}
 	if len(w.Tried) == 0 && slices.ContainsFunc(missed.tried, alike) {
 		missed.count++
@@ -234,6 +264,7 @@
 	if chosen == nil {
 		missed.count++
 		if len(w.Tried) == 0 {
+			missed.restricted = missed.restricted || len(missed.tried) == 0 && sc.hasRestrictedServers()
 			missed.tried = append(missed.tried, missedRequest{waitingRequest: w, stage: stage})
 		}
 	}
