Simulate rollouts under the conditions of a whole fleet

Cause: in a play of a whole fleet, a good version was reverted without a verdict. The simulation lacked what happens there.

The basic simulation and its bounds are unchanged.

--- a/pkg/rollout/sim_config_test.go
+++ b/pkg/rollout/sim_config_test.go
@@ -20,6 +20,11 @@
 
 // simConfig describes one simulated rollout.
 type simConfig struct {
+	simConditions
+	// idempotentShare is the share of requests that may be hedged, and deadRoute the route on which all requests time out, or -1.
+	idempotentShare float64
+	deadRoute       int
+
 	random   *rand.Rand
 	duration time.Duration
 	// seenAfter is the time from the order to its first sight by the leader.
@@ -76,7 +81,7 @@
 
 func chance(r *rand.Rand, p float64) bool { return r.Float64() < p }
 
-func newSimConfig(seed uint64) *simConfig {
+func newSimConfig(seed uint64, conditions simConditions) *simConfig {
 	r := rand.New(rand.NewPCG(seed, 11))
 	c := &simConfig{random: r}
 	c.duration = between(r, 12*time.Second, 16*time.Second)
@@ -85,6 +90,7 @@
 	c.configureTraffic(r)
 	c.configureVersion(r)
 	c.configureEvents(r)
+	c.apply(seed, conditions)
 	return c
 }
 
--- a/pkg/rollout/sim_request_test.go
+++ b/pkg/rollout/sim_request_test.go
@@ -21,6 +21,8 @@
 	started time.Time
 	result  message.Result
 	slowed  bool
+	// hedged means that a second server was asked.
+	hedged bool
 }
 
 // place selects a server as the fleet does: a target server if the controller exposes one, otherwise an old server.
@@ -75,8 +77,8 @@
 		if s.busy >= sim.slots {
 			continue
 		}
-		recent := sim.schedule.Now().Sub(s.failed) < time.Second
-		if best == nil || !recent && s.busy < best.busy {
+		recent := sim.suspected(s)
+		if best == nil || !recent && (s.busy < best.busy || sim.avoidGray && sim.suspected(best)) {
 			best = s
 		}
 	}
@@ -98,6 +100,9 @@
 	}
 	s.busy++
 	took := sim.serviceTime(r.route)
+	if sim.coldStart && a.started.Sub(s.since) < coldTime {
+		took *= coldSlowdown
+	}
 	link := time.Duration(0)
 	if r.vm == 0 && sim.within(sim.slowLinkFrom, sim.slowLinkTo) {
 		link = sim.slowLink
@@ -111,6 +116,8 @@
 		a.result = sim.grayManner
 	case chance(sim.random, sim.normalFailureRate):
 		a.result = message.Failed
+	case r.route == sim.deadRoute:
+		a.result = message.TimedOut
 	case sim.faulty(s, r.route):
 		if chance(sim.random, sim.failureRate) {
 			a.result = sim.manner
@@ -122,6 +129,12 @@
 	if a.result == message.TimedOut || took >= sim.attemptTimeout {
 		took, a.result = sim.attemptTimeout, message.TimedOut
 	}
+	if cancelled := sim.hedge(a); cancelled > 0 {
+		a.result, a.hedged, took = message.Cancelled, true, cancelled
+		sim.schedule.After(hedgeAfter, func() {
+			sim.place(&simRequest{route: r.route, leader: r.leader, vm: r.vm, arrived: sim.schedule.Now(), second: true})
+		})
+	}
 	sim.schedule.After(took+link, func() { sim.finish(a) })
 }
 
@@ -136,6 +149,11 @@
 	if a.result != message.Succeeded && a.result != message.Shed {
 		a.server.failed = now
 	}
+	a.server.results.decay(now, resultsMemory)
+	a.server.results.count++
+	if a.result != message.Succeeded && a.result != message.Shed {
+		a.server.results.failed++
+	}
 	r := a.request
 	outcome := Outcome{
 		Route: routeID(r.route), Server: a.server.id, OnTarget: a.server.onTarget, Result: a.result, Took: now.Sub(a.started),
@@ -149,7 +167,7 @@
 		}
 	}
 	sim.observe(r.leader, outcome)
-	if a.result != message.Succeeded && !r.second {
+	if a.result != message.Succeeded && !r.second && !a.hedged {
 		sim.place(&simRequest{route: r.route, leader: r.leader, vm: r.vm, arrived: now, second: true})
 	}
 }
--- a/pkg/rollout/sim_test.go
+++ b/pkg/rollout/sim_test.go
@@ -36,6 +36,9 @@
 	busy     int
 	gone     bool
 	failed   time.Time
+	// since is the start of the server. Old servers have run for long. results are its recent responses.
+	since   time.Time
+	results tally
 }
 
 // simLeader is a controller with the part of the fleet's state that it knows.
@@ -75,11 +78,14 @@
 	trialExceeded bool
 }
 
-func simulate(seed uint64) (*simConfig, simResult) {
-	sim := &simulation{simConfig: newSimConfig(seed), schedule: virtualtime.New(simStart())}
+func simulate(seed uint64, conditions simConditions) (*simConfig, simResult) {
+	sim := &simulation{simConfig: newSimConfig(seed, conditions), schedule: virtualtime.New(simStart())}
 	for range sim.oldCount {
 		sim.old = append(sim.old, sim.newServer(false))
 	}
+	for _, s := range sim.old {
+		s.since = simStart().Add(-time.Hour)
+	}
 	for range sim.newCount {
 		sim.new = append(sim.new, sim.newServer(true))
 	}
@@ -103,7 +109,7 @@
 
 func (sim *simulation) newServer(onTarget bool) *simServer {
 	sim.nextID++
-	s := &simServer{id: azuretiller.InstanceID(fmt.Sprintf("s%04d", sim.nextID)), onTarget: onTarget, gray: chance(sim.random, sim.grayShare)}
+	s := &simServer{id: azuretiller.InstanceID(fmt.Sprintf("s%04d", sim.nextID)), onTarget: onTarget, gray: chance(sim.random, sim.grayShare), since: sim.schedule.Now()}
 	sim.scheduleGray(s)
 	return s
 }
@@ -274,5 +280,5 @@
 
 // responseIsBad reports whether a response counts as bad for the operator.
 func (sim *simulation) responseIsBad(a *simAttempt) bool {
-	return a.result != message.Succeeded && a.result != message.Shed || a.slowed
+	return a.hedged || a.result != message.Succeeded && a.result != message.Shed || a.slowed
 }
--- a/pkg/rollout/verdict_test.go
+++ b/pkg/rollout/verdict_test.go
@@ -159,14 +159,14 @@
 }
 
 // simulateSeeds runs a number of rollouts, two at a time.
-func simulateSeeds(first, count uint64) *tallies {
+func simulateSeeds(first, count uint64, conditions simConditions) *tallies {
 	t := &tallies{failures: map[string][]uint64{}, byTrigger: map[faultTrigger][2]int{}, byGroup: map[string][2]int{}}
 	var lock sync.Mutex
 	var group sync.WaitGroup
 	for worker := range uint64(2) {
 		group.Go(func() {
 			for seed := first + worker; seed < first+count; seed += 2 {
-				c, r := simulate(seed)
+				c, r := simulate(seed, conditions)
 				lock.Lock()
 				t.add(seed, c, r)
 				lock.Unlock()
@@ -185,7 +185,7 @@
 // TestGoalOfSimulatedRollouts.
 func TestSimulatedRollouts(t *testing.T) {
 	count := min(number(t, "SOAK_CHECKS", 40), goalSeeds)
-	result := simulateSeeds(number(t, "SOAK_SEED", 1), count)
+	result := simulateSeeds(number(t, "SOAK_SEED", 1), count, simConditions{})
 	t.Log("\n" + result.String())
 	require.Zero(t, result.trialExceeded, "exposure before the cutover")
 	require.Zero(t, result.oldAfterCompletion, "old servers in use after the completion")
@@ -198,7 +198,7 @@
 	if count < goalSeeds {
 		t.Skip("the goal needs SOAK_CHECKS=1000 or more")
 	}
-	result := simulateSeeds(number(t, "SOAK_SEED", 1), count)
+	result := simulateSeeds(number(t, "SOAK_SEED", 1), count, simConditions{})
 	t.Log("\n" + result.String())
 	assert.Zero(t, result.exposureExceeded, "exposure")
 	assert.Zero(t, result.rollbackExceeded, "rollback")
