Judge hedged attempts and servers that have just started separately

Cause: the durations of servers that have just started, and gray servers that only the scheduler of the old servers avoids, made good versions look bad. Hedged attempts on servers that hang were no evidence at all.

Change: durations of target servers within 3 s after their start count as no evidence, except that an attempt without a result may be one that fails. An attempt that was cancelled after 0.5 s or more counts as one without a response so far, on both versions. A route that fails on the old servers is not exposed. The largest share of gray servers has at least half of the prior weight, which the responses of target servers change. The simulation reports the attempts of a lost VM without a duration, as the leader does.

--- a/pkg/rollout/controller.go
+++ b/pkg/rollout/controller.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/azuretiller/azuretiller"
+	"github.com/azuretiller/azuretiller/pkg/message"
 )
 
 // Params are the bounds of the deployment.
@@ -79,7 +80,7 @@
 	}
 	c := &Controller{
 		params: p, order: order, phase: Trial, started: started, created: now, deadline: started.Add(order.Duration),
-		focus: newFocus(), reference: newReference(), inFlight: newInFlight(),
+		focus: newFocus(started), reference: newReference(), inFlight: newInFlight(),
 		evidence: newWeighedEvidence(started, prior), history: slices.Clone(stored.Attempts), inherited: len(stored.Attempts),
 		bad: stored.Bad, state: stored.State, wantState: azuretiller.RolloutActive, cutover: stored.Cutover, wantCutover: stored.Cutover,
 		logOdds: stored.LogOdds, runningLogOdds: stored.LogOdds,
@@ -125,7 +126,7 @@
 	c.exposure.used++
 	c.exposure.placed++
 	if c.phase != Completed {
-		c.inFlight.add(now, route, server)
+		c.inFlight.add(now, route, server, c.focus.cold(now, server))
 		c.focus.place(now, route, server)
 		c.reference.route(route).exposed++
 	}
@@ -158,11 +159,16 @@
 	if !o.OnTarget {
 		c.reference.observe(now, o)
 		if kind := c.reference.classify(o); kind.evidence() {
-			c.evidence.observeOld(now, o.Server, kind == failedResponse)
+			c.evidence.observeOld(now, o.Server, kind.unsuccessful())
 		}
 		return
 	}
-	result := attempt{route: o.Route, sent: now.Add(-o.Took), took: o.Took, kind: c.reference.classify(o), judged: true, reported: true}
+	result := attempt{route: o.Route, sent: now.Add(-o.Took), took: o.Took, judged: true, reported: true}
+	result.cold = c.focus.cold(result.sent, o.Server)
+	if result.cold && o.Result == message.Succeeded {
+		o.Took /= coldSlowdown
+	}
+	result.kind = c.reference.classify(o)
 	known, overdue := c.inFlight.report(o.Server, result)
 	if !overdue && result.kind.bad() {
 		c.countBad(now, o.Server)
@@ -206,7 +212,7 @@
 		case a.Overdue:
 			kind = overdueResponse
 		}
-		c.weigh(c.evidence)(a.Server, attempt{route: a.Route, sent: c.started.Add(a.Sent), took: a.Took, kind: kind})
+		c.weigh(c.evidence)(a.Server, attempt{route: a.Route, sent: c.started.Add(a.Sent), took: a.Took, kind: kind, cold: a.Sent < coldTime})
 	}
 	c.inherited = 0
 	c.trusted = c.trusted && len(c.history) == 0
@@ -239,7 +245,13 @@
 
 // judge takes the attempts into account that have a result or run for very long.
 func (c *Controller) judge(now time.Time) {
-	limit := func(route azuretiller.RouteID) time.Duration { return max(overdueAfter, c.overdueLimit(route)) }
+	limit := func(a attempt) time.Duration {
+		threshold := c.overdueLimit(a.route)
+		if a.cold {
+			threshold *= coldSlowdown
+		}
+		return max(overdueAfter, threshold)
+	}
 	c.inFlight.judgeOverdue(now, limit, func(server azuretiller.InstanceID) { c.countBad(now, server) })
 	if now.Sub(c.created) >= referenceWarmup {
 		c.judgeInherited()
--- a/pkg/rollout/evidence.go
+++ b/pkg/rollout/evidence.go
@@ -191,6 +191,13 @@
 		if !normal.durations.known() {
 			return 1
 		}
+		if a.cold && a.kind != overdueResponse {
+			return 1
+		}
+		if a.cold {
+			// A fault that makes responses slower would be favored by the attempts that run, while their results count for nothing.
+			factor = coldSlowdown
+		}
 		scaled := time.Duration(float64(a.took) / factor)
 		if a.kind == overdueResponse {
 			return normal.durations.exceeds(scaled)
--- a/pkg/rollout/focus.go
+++ b/pkg/rollout/focus.go
@@ -29,6 +29,9 @@
 	// placed are the attempts by route.
 	placed map[azuretiller.RouteID]int
 	total  int
+	// firstSince is the start of the servers that are there at first. known means that they have been seen.
+	firstSince time.Time
+	known      bool
 }
 
 type targetServer struct {
@@ -40,10 +43,12 @@
 	// bad are the bad responses since the visit began.
 	bad      int
 	lastUsed time.Time
+	// since is when the server was first known.
+	since time.Time
 }
 
-func newFocus() *focus {
-	return &focus{byID: map[azuretiller.InstanceID]*targetServer{}, placed: map[azuretiller.RouteID]int{}}
+func newFocus(firstSince time.Time) *focus {
+	return &focus{firstSince: firstSince, byID: map[azuretiller.InstanceID]*targetServer{}, placed: map[azuretiller.RouteID]int{}}
 }
 
 // update takes over the target servers, ends visits and starts others. Visits of idle servers end only while there are attempts
@@ -56,7 +61,10 @@
 	for _, s := range servers {
 		known := f.byID[s.ID]
 		if known == nil {
-			known = &targetServer{}
+			known = &targetServer{since: now}
+			if !f.known {
+				known.since = f.firstSince
+			}
 			f.byID[s.ID] = known
 			f.servers = append(f.servers, known)
 		}
@@ -65,6 +73,7 @@
 			warm++
 		}
 	}
+	f.known = f.known || len(servers) > 0
 	active := 0
 	for _, s := range f.servers {
 		idle := f.open && now.Sub(s.lastUsed) > visitTimeout
@@ -141,6 +150,12 @@
 	}
 }
 
+// cold reports whether a server had just started at the given time.
+func (f *focus) cold(sent time.Time, id azuretiller.InstanceID) bool {
+	s := f.byID[id]
+	return s != nil && sent.Sub(s.since) < coldTime
+}
+
 // count returns the number of target servers.
 func (f *focus) count() int {
 	count := 0
--- a/pkg/rollout/inflight.go
+++ b/pkg/rollout/inflight.go
@@ -19,6 +19,8 @@
 	sent  time.Time
 	took  time.Duration
 	kind  responseKind
+	// cold means that the server had just started when the attempt was sent.
+	cold bool
 	// judged means that kind and took are set, reported that the result has come, and counted that the attempt was taken into
 	// account. An overdue attempt is judged before it is reported.
 	judged, reported, counted bool
@@ -28,8 +30,8 @@
 	return &inFlight{attempts: map[azuretiller.InstanceID][]attempt{}}
 }
 
-func (f *inFlight) add(now time.Time, route azuretiller.RouteID, server azuretiller.InstanceID) {
-	f.attempts[server] = append(f.attempts[server], attempt{route: route, sent: now})
+func (f *inFlight) add(now time.Time, route azuretiller.RouteID, server azuretiller.InstanceID, cold bool) {
+	f.attempts[server] = append(f.attempts[server], attempt{route: route, sent: now, cold: cold})
 }
 
 // report sets the result of the attempt that was sent closest to the given time. It reports whether the attempt was known,
@@ -56,11 +58,11 @@
 }
 
 // judgeOverdue judges the attempts that run for longer than limit says for their routes, and calls found for each.
-func (f *inFlight) judgeOverdue(now time.Time, limit func(azuretiller.RouteID) time.Duration, found func(azuretiller.InstanceID)) {
+func (f *inFlight) judgeOverdue(now time.Time, limit func(attempt) time.Duration, found func(azuretiller.InstanceID)) {
 	for _, id := range f.servers() {
 		for i := range f.attempts[id] {
 			a := &f.attempts[id][i]
-			if l := limit(a.route); !a.judged && now.Sub(a.sent) > l {
+			if l := limit(*a); !a.judged && now.Sub(a.sent) > l {
 				a.judged, a.kind, a.took = true, overdueResponse, l
 				found(id)
 			}
--- a/pkg/rollout/params.go
+++ b/pkg/rollout/params.go
@@ -104,4 +104,13 @@
 	overdueAfter = 1600 * time.Millisecond
 	// overdueFactor is the least time in multiples of the threshold of slow responses.
 	overdueFactor = 1.5
+
+	// coldTime is the time after its start in which a server is slower, up to coldSlowdown times. The durations of its responses are no
+	// evidence.
+	coldTime     = 3 * time.Second
+	coldSlowdown = 2
+
+	// unansweredAfter is the time from which a cancelled attempt shows that the server did not respond, as after a hedge. The
+	// attempts of lost VMs are reported as cancelled without a duration.
+	unansweredAfter = 500 * time.Millisecond
 )
--- a/pkg/rollout/reference.go
+++ b/pkg/rollout/reference.go
@@ -124,7 +124,7 @@
 	route.responses++
 	server.decay(now, referenceMemory)
 	server.count++
-	if kind == failedResponse {
+	if kind.unsuccessful() {
 		server.failed++
 	} else {
 		route.durations.add(now, o.Took)
@@ -172,10 +172,11 @@
 	route.failureRate = max(minFailureRate, (kept.failed+priorFailureRate*priorResponses)/(kept.count+priorResponses))
 }
 
-// allows reports whether a further attempt on a route may go to a target server: the old servers get at least as many.
+// allows reports whether a further attempt on a route may go to a target server: the old servers get at least as many, and most of
+// their responses are successful, since a route that fails on them too says nothing about the target version.
 func (r *reference) allows(id azuretiller.RouteID) bool {
 	route := r.routes[id]
-	return route != nil && route.responses >= minRouteResponses && route.exposed < route.responses
+	return route != nil && route.responses >= minRouteResponses && route.exposed < route.responses && route.failureRate < failingShare
 }
 
 // removeServers forgets old servers that no longer exist.
@@ -215,6 +216,9 @@
 // evidence reports whether the response counts for or against the version.
 func (k responseKind) evidence() bool { return k == goodResponse || k.bad() }
 
+// unsuccessful reports whether there was no successful response.
+func (k responseKind) unsuccessful() bool { return k == failedResponse || k == overdueResponse }
+
 func (k responseKind) bad() bool {
 	return k == failedResponse || k == slowResponse || k == overdueResponse
 }
@@ -230,6 +234,11 @@
 		return failedResponse
 	case message.Shed:
 		return shedResponse
+	case message.Cancelled:
+		if o.Took >= unansweredAfter {
+			return overdueResponse
+		}
+		return noResponse
 	default:
 		return noResponse
 	}
@@ -242,18 +251,21 @@
 	return 0
 }
 
-// meanDuration returns the mean duration of recent successful attempts on old servers.
+// meanDuration returns the mean duration of recent successful attempts on old servers, weighed by the requests of the routes.
 func (r *reference) meanDuration() time.Duration {
-	var sum time.Duration
-	count := 0
+	sum, count := 0.0, 0
 	for _, route := range r.routes {
+		kept := 0.0
 		for _, d := range route.durations.kept {
-			sum += d
-			count++
+			kept += float64(d)
+		}
+		if n := len(route.durations.kept); n > 0 {
+			sum += kept / float64(n) * float64(route.responses)
+			count += route.responses
 		}
 	}
 	if count == 0 {
 		return 0
 	}
-	return sum / time.Duration(count)
+	return time.Duration(sum / float64(count))
 }
--- a/pkg/rollout/sim_conditions_test.go
+++ b/pkg/rollout/sim_conditions_test.go
@@ -21,8 +21,8 @@
 }
 
 const (
-	coldTime      = 3 * time.Second
-	coldSlowdown  = 2
+	simColdTime   = 3 * time.Second
+	simSlowdown   = 2
 	rareRoutes    = 10
 	rareShare     = 0.1
 	deadShare     = 0.005
--- a/pkg/rollout/sim_request_test.go
+++ b/pkg/rollout/sim_request_test.go
@@ -100,8 +100,8 @@
 	}
 	s.busy++
 	took := sim.serviceTime(r.route)
-	if sim.coldStart && a.started.Sub(s.since) < coldTime {
-		took *= coldSlowdown
+	if sim.coldStart && a.started.Sub(s.since) < simColdTime {
+		took *= simSlowdown
 	}
 	link := time.Duration(0)
 	if r.vm == 0 && sim.within(sim.slowLinkFrom, sim.slowLinkTo) {
@@ -161,7 +161,7 @@
 	if sim.vmLostAt > 0 && r.vm == 1 && sim.elapsed() >= sim.vmLostAt {
 		if sim.elapsed() < sim.vmLostAt+5*time.Second {
 			// The VM is lost with its attempts. The leader notices it later.
-			outcome.Result = message.Cancelled
+			outcome.Result, outcome.Took = message.Cancelled, 0
 			sim.schedule.After(max(0, sim.vmLostAt+sim.cancelLost-sim.elapsed()), func() { sim.observe(r.leader, outcome) })
 			return
 		}
--- a/pkg/rollout/weighed.go
+++ b/pkg/rollout/weighed.go
@@ -11,9 +11,9 @@
 	// lowGrayShare and highGrayShare are the shares of gray servers that are considered. The higher one is the largest that occurs.
 	lowGrayShare  = 0.1
 	highGrayShare = 0.3
-	// minHighWeight is the least weight of highGrayShare, so that a few gray target servers do not make a good version look bad while
-	// no old server is gray.
-	minHighWeight = 0.2
+	// minHighWeight is the least weight of highGrayShare before the responses of target servers. The scheduler avoids gray old servers, so
+	// that the old servers do not show how many target servers are gray.
+	minHighWeight = 0.5
 )
 
 // weighedEvidence combines the evidence under several shares of gray servers, weighed by how well each describes the old servers.
