Give rare routes a smaller part of the exposure

Cause: each route got the same part of the exposure, so that ten rare, short routes took most of it.

Change: routes with less than a tenth of the responses of the old servers get a part in proportion.

--- a/pkg/rollout/controller.go
+++ b/pkg/rollout/controller.go
@@ -147,7 +147,7 @@
 	}
 	available := c.exposure.available(now)
 	return available > 0 && !c.reference.shedding(now) && c.reference.allows(route) &&
-		c.focus.allows(route, server, available, c.exposure.visitSize(), len(c.reference.routes))
+		c.focus.allows(route, server, available, c.exposure.visitSize(), c.reference.share(route))
 }
 
 // Observe records the result of an attempt on a server of either version. Each attempt that Expose admitted is observed once,
--- a/pkg/rollout/focus.go
+++ b/pkg/rollout/focus.go
@@ -116,13 +116,14 @@
 	}
 }
 
-// allows reports whether an attempt of the route may go to the server, given the attempts that are available.
-func (f *focus) allows(route azuretiller.RouteID, id azuretiller.InstanceID, available, visitSize, routes int) bool {
+// allows reports whether an attempt of the route may go to the server, given the attempts that are available and the route's share of
+// them.
+func (f *focus) allows(route azuretiller.RouteID, id azuretiller.InstanceID, available, visitSize int, share float64) bool {
 	s := f.byID[id]
 	if s == nil || s.left == 0 || available < 1 {
 		return false
 	}
-	evenShare := float64(f.total) / float64(max(routes, 1))
+	evenShare := float64(f.total) * share
 	placed := float64(f.placed[route])
 	if placed < routeDeficit*evenShare {
 		return true
--- a/pkg/rollout/reference.go
+++ b/pkg/rollout/reference.go
@@ -37,6 +37,8 @@
 	// failingPriorResponses the number of responses that priorFailureRate is worth then.
 	failingShare          = 0.5
 	failingPriorResponses = 2
+	// rareRouteShare is the share of the responses below which a route gets less than an even share of the exposure.
+	rareRouteShare = 0.1
 	// minTally is the decayed number of responses of a server below which it does not count.
 	minTally = 0.2
 	// shedMemory is the time in which the counts of shed attempts decay to 1/e.
@@ -179,6 +181,24 @@
 	return route != nil && route.responses >= minRouteResponses && route.exposed < route.responses && route.failureRate < failingShare
 }
 
+// share returns the share of the exposure that a route gets. It is the same for all routes but rare ones, which would otherwise take most of
+// the exposure if there are many.
+func (r *reference) share(id azuretiller.RouteID) float64 {
+	responses := 0
+	for _, route := range r.routes {
+		responses += route.responses
+	}
+	weight, sum := 0.0, 0.0
+	for other, route := range r.routes {
+		w := min(1, float64(route.responses)/(rareRouteShare*float64(max(responses, 1))))
+		sum += w
+		if other == id {
+			weight = w
+		}
+	}
+	return weight / max(sum, weight, math.SmallestNonzeroFloat64)
+}
+
 // removeServers forgets old servers that no longer exist.
 func (r *reference) removeServers(exists map[azuretiller.InstanceID]bool) {
 	for _, route := range r.routes {
