Limit the prior probability of faults of rare routes

Cause: the hypotheses of single routes had a prior probability that grew with each route, so that ten rare routes alone kept the log odds above the threshold of a good verdict. They also used up the bound on the number of hypotheses, so that late faults of all routes were not considered.

Change: the prior probability of a route falls with its share of the responses, and their sum no longer grows from the fifth route on. Late faults of rare routes are not considered, late faults of all routes always are.

--- a/pkg/rollout/evidence.go
+++ b/pkg/rollout/evidence.go
@@ -23,6 +23,8 @@
 	// allRoutes is the route of hypotheses that concern all routes, and allRoutesWeight their prior probability.
 	allRoutes       = -1
 	allRoutesWeight = 0.7
+	// maxWeighedRoutes is the number of routes up to which the prior probability that only one route is concerned grows with each.
+	maxWeighedRoutes = 4
 	// maxHypotheses limits the memory and the time of an observation.
 	maxHypotheses = 700
 )
@@ -52,7 +54,8 @@
 	fault, route int
 	// onset is the time from which the version is bad.
 	onset time.Time
-	// logPrior is the logarithm of its prior probability, given that the version is bad.
+	// logPrior is the logarithm of its prior probability, given that the version is bad and, unless all routes are concerned, that its
+	// route is.
 	logPrior float64
 	// logRatio is the logarithm of the likelihood of the responses relative to that of a good version.
 	logRatio float64
@@ -75,11 +78,13 @@
 	faults     []fault
 	hypotheses []hypothesis
 	routes     map[azuretiller.RouteID]int
-	servers    map[azuretiller.InstanceID]*serverEvidence
-	started    time.Time
-	nextOnset  time.Time
-	prior      float64
-	responses  int
+	// counts are the numbers of responses by route.
+	counts    []int
+	servers   map[azuretiller.InstanceID]*serverEvidence
+	started   time.Time
+	nextOnset time.Time
+	prior     float64
+	responses int
 	// owned are the servers that are not shared with another evidence. It is nil if none is shared.
 	owned map[azuretiller.InstanceID]bool
 	// logGood is the log likelihood of the responses if the version is good.
@@ -98,13 +103,11 @@
 
 // addHypotheses adds the hypotheses that the version is bad on a route from the onset on.
 func (e *evidence) addHypotheses(route int, onset time.Time, logPrior float64) {
-	if len(e.hypotheses) >= maxHypotheses {
+	if len(e.hypotheses) >= maxHypotheses && route != allRoutes {
 		return
 	}
 	if route == allRoutes {
 		logPrior += math.Log(allRoutesWeight)
-	} else {
-		logPrior += math.Log((1 - allRoutesWeight) / float64(len(e.routes)))
 	}
 	for i, f := range e.faults {
 		e.hypotheses = append(e.hypotheses, hypothesis{fault: i, route: route, onset: onset, logPrior: logPrior + math.Log(f.weight)})
@@ -115,7 +118,11 @@
 func (e *evidence) advance(now time.Time) {
 	for !now.Before(e.nextOnset) {
 		e.addHypotheses(allRoutes, e.nextOnset, math.Log(laterOnset))
-		for route := range len(e.routes) {
+		for route, count := range e.counts {
+			if e.responses > minResponses && float64(count) < rareRouteShare/2*float64(e.responses) {
+				// A late fault of a rare route would not be noticed.
+				continue
+			}
 			e.addHypotheses(route, e.nextOnset, math.Log(laterOnset))
 		}
 		e.nextOnset = e.nextOnset.Add(onsetInterval)
@@ -127,6 +134,7 @@
 	if !ok {
 		index = len(e.routes)
 		e.routes[id] = index
+		e.counts = append(e.counts, 0)
 		e.addHypotheses(index, time.Time{}, math.Log(initialOnset)+e.prior)
 	}
 	return index
@@ -151,6 +159,7 @@
 	}
 	decay := s.elapse(a.sent)
 	e.responses++
+	e.counts[route]++
 
 	good := e.likelihoods(a, fault{slowFactor: 1}, normal)
 	goodLikelihood := s.good.update(decay, &e.states, &good)
@@ -242,22 +251,47 @@
 
 // logOdds returns the logarithm of the odds that the version is bad, if good and bad versions are equally frequent.
 func (e *evidence) logOdds() float64 {
+	priors := e.routePriors()
+	weighed := make([]float64, len(e.hypotheses))
 	largest := math.Inf(-1)
-	for _, h := range e.hypotheses {
-		largest = max(largest, h.logPrior+h.logRatio)
+	for i, h := range e.hypotheses {
+		weighed[i] = h.logPrior + h.logRatio
+		if h.route != allRoutes {
+			weighed[i] += priors[h.route]
+		}
+		largest = max(largest, weighed[i])
 	}
 	sum := 0.0
-	for _, h := range e.hypotheses {
-		sum += math.Exp(h.logPrior + h.logRatio - largest)
+	for _, w := range weighed {
+		sum += math.Exp(w - largest)
 	}
 	return largest + math.Log(sum)
 }
 
+// routePriors returns the logarithms of the prior probabilities that only a certain route is concerned. That of a rare route is lower, as
+// its few responses could otherwise never show that a version is good.
+func (e *evidence) routePriors() []float64 {
+	priors := make([]float64, len(e.counts))
+	sum, whole := 0.0, 0.0
+	for i, count := range e.counts {
+		priors[i] = min(1, float64(count+1)/(rareRouteShare*float64(e.responses+len(e.counts))))
+		sum += priors[i]
+		if i < maxWeighedRoutes {
+			whole += (1 - allRoutesWeight) / float64(i+1)
+		}
+	}
+	for i := range priors {
+		priors[i] = math.Log(priors[i] / sum * whole)
+	}
+	return priors
+}
+
 // clone returns a copy that changes independently. The servers are copied when they change.
 func (e *evidence) clone() *evidence {
 	c := *e
 	c.hypotheses = slices.Clone(e.hypotheses)
 	c.routes = maps.Clone(e.routes)
+	c.counts = slices.Clone(e.counts)
 	c.servers = maps.Clone(e.servers)
 	c.owned = map[azuretiller.InstanceID]bool{}
 	return &c
