Ignore slow faults of routes that are too short to show them

Cause: durations up to 20 ms count as equal, so that nothing could refute the hypothesis that only one short route became several times slower. With ten such routes the log odds of a good version stayed above -2, which is the threshold of a good verdict after 45 bad responses.

Change: that hypothesis is not considered for routes whose median is below 10 ms; slow faults of all routes still are.

--- a/pkg/rollout/conditions_test.go
+++ b/pkg/rollout/conditions_test.go
@@ -16,6 +16,7 @@
 		"servers start cold":      {coldStart: true},
 		"rare routes":             {rareRoutes: true},
 		"all conditions together": {avoidGray: true, hang: true, coldStart: true, rareRoutes: true},
+		"large service":           {avoidGray: true, hang: true, coldStart: true, rareRoutes: true, large: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			result := simulateSeeds(number(t, "SOAK_SEED", 1), count, conditions)
--- a/pkg/rollout/durations.go
+++ b/pkg/rollout/durations.go
@@ -129,6 +129,9 @@
 // known reports whether there are enough durations.
 func (d *durations) known() bool { return len(d.sorted) > 0 }
 
+// short reports whether most durations are so short that much longer ones would count as equal.
+func (d *durations) short() bool { return d.known() && d.quantile(0.5) < leastDuration/2 }
+
 // densityAt returns the density of the logarithm of the duration.
 func (d *durations) densityAt(took time.Duration) float64 {
 	position := min(binPosition(took), densityBins-1.001)
--- a/pkg/rollout/evidence.go
+++ b/pkg/rollout/evidence.go
@@ -79,7 +79,9 @@
 	hypotheses []hypothesis
 	routes     map[azuretiller.RouteID]int
 	// counts are the numbers of responses by route.
-	counts    []int
+	counts []int
+	// short are the routes whose durations are too short to show that only they are slower. Nothing could refute that.
+	short     []bool
 	servers   map[azuretiller.InstanceID]*serverEvidence
 	started   time.Time
 	nextOnset time.Time
@@ -135,6 +137,7 @@
 		index = len(e.routes)
 		e.routes[id] = index
 		e.counts = append(e.counts, 0)
+		e.short = append(e.short, false)
 		e.addHypotheses(index, time.Time{}, math.Log(initialOnset)+e.prior)
 	}
 	return index
@@ -160,6 +163,7 @@
 	decay := s.elapse(a.sent)
 	e.responses++
 	e.counts[route]++
+	e.short[route] = normal.durations.short()
 
 	good := e.likelihoods(a, fault{slowFactor: 1}, normal)
 	goodLikelihood := s.good.update(decay, &e.states, &good)
@@ -256,6 +260,9 @@
 	largest := math.Inf(-1)
 	for i, h := range e.hypotheses {
 		weighed[i] = h.logPrior + h.logRatio
+		if h.route != allRoutes && e.short[h.route] && e.faults[h.fault].slowFactor > 1 {
+			weighed[i] = math.Inf(-1)
+		}
 		if h.route != allRoutes {
 			weighed[i] += priors[h.route]
 		}
@@ -292,6 +299,7 @@
 	c.hypotheses = slices.Clone(e.hypotheses)
 	c.routes = maps.Clone(e.routes)
 	c.counts = slices.Clone(e.counts)
+	c.short = slices.Clone(e.short)
 	c.servers = maps.Clone(e.servers)
 	c.owned = map[azuretiller.InstanceID]bool{}
 	return &c
--- a/pkg/rollout/sim_conditions_test.go
+++ b/pkg/rollout/sim_conditions_test.go
@@ -18,6 +18,8 @@
 	coldStart bool
 	// rareRoutes: a tenth of the requests belongs to many short routes, and on one more all requests time out.
 	rareRoutes bool
+	// large: a service with as many servers and requests as the one of a play in which a good version was reverted.
+	large bool
 }
 
 const (
@@ -39,6 +41,15 @@
 	if (conditions.avoidGray || conditions.hang) && chance(r, 0.7) {
 		c.grayShare, c.grayFailureRate, c.grayPeriod = 0.2+0.1*r.Float64(), 0.5+0.25*r.Float64(), 2+4*r.Float64()
 	}
+	if conditions.large {
+		c.duration, c.slots, c.oldCount, c.newCount = 16*time.Second, 6, 163, 107
+		c.rate = 450
+		for i := range c.routeTimes {
+			c.routeTimes[i] = 500 * time.Millisecond
+		}
+		c.utilisation = c.rate * 0.5 / float64(c.oldCount*c.slots)
+		c.leaderChanges = nil
+	}
 	if conditions.hang {
 		c.grayManner = message.TimedOut
 		if c.grayShare > 0 {
