--- a/pkg/pipeline/ahead.go
+++ b/pkg/pipeline/ahead.go
@@ -100,10 +100,7 @@
 // bytes behind it wait.
 func (c *conn) add(text []byte) {
 	h := examineHead(text)
-	if !h.framed {
-		c.framer.lose()
-	}
-	c.framer.body = h.body
+	c.framer.startBody(h)
 	if c.parsed > c.finished && !c.serial {
 		switch {
 		case !h.plain || !c.reserve():
--- a/pkg/pipeline/framer.go
+++ b/pkg/pipeline/framer.go
@@ -15,8 +15,9 @@
 	budget *bytebudget.Budget
 	// head is the start of a head whose end has not arrived.
 	head []byte
-	// body is the number of bytes of the current body that have not arrived.
-	body int64
+	// body is the number of bytes of the current body that have not arrived, if its size is known; otherwise chunks finds its end.
+	body   int64
+	chunks chunkedBody
 	// lost means that the end of the current request is unknown.
 	lost bool
 }
@@ -32,6 +33,14 @@
 		f.body -= int64(n)
 		return n, nil
 	}
+	if f.chunks.state != chunkNone {
+		n, ok := f.chunks.next(p)
+		if !ok {
+			f.lose()
+			return len(p), nil
+		}
+		return n, nil
+	}
 	known := len(f.head)
 	if known == 0 {
 		if end := bytes.Index(p, []byte(endOfHead)); end >= 0 && end+len(endOfHead) <= maxHead {
@@ -61,6 +70,21 @@
 // isInHead reports whether a part of a head has arrived.
 func (f *framer) isInHead() bool { return len(f.head) > 0 }
 
+// isInBody reports whether a part of a body has not arrived.
+func (f *framer) isInBody() bool { return f.body > 0 || f.chunks.state != chunkNone }
+
+// startBody tells the framer what follows the head that it returned.
+func (f *framer) startBody(h head) {
+	switch {
+	case !h.framed:
+		f.lose()
+	case h.chunked:
+		f.chunks.state = chunkSize
+	default:
+		f.body = h.body
+	}
+}
+
 // lose ends the examination of the connection.
 func (f *framer) lose() {
 	f.lost = true
--- a/pkg/pipeline/head.go
+++ b/pkg/pipeline/head.go
@@ -16,8 +16,9 @@
 	framed bool
 	// plain means that the request is a GET or HEAD request without a body and without a header line that affects the connection.
 	plain bool
-	// body is the size in bytes of the body.
-	body int64
+	// body is the size in bytes of the body, unless it is chunked.
+	body    int64
+	chunked bool
 }
 
 // examineHead describes a complete head. Heads that net/http could read in another way are not framed.
@@ -53,14 +54,17 @@
 			}
 			h.body, h.plain = int64(size), false
 		case "transfer-encoding":
-			return head{}
+			if h.chunked || !strings.EqualFold(value, "chunked") {
+				return head{}
+			}
+			h.chunked, h.plain = true, false
 		case "connection":
 			h.plain = h.plain && strings.EqualFold(value, "keep-alive")
 		case "other":
 			h.plain = false
 		}
 	}
-	if hosts != 1 || sizes > 1 || !strings.HasPrefix(target, "/") {
+	if hosts != 1 || sizes > 1 || sizes > 0 && h.chunked || !strings.HasPrefix(target, "/") {
 		return head{}
 	}
 	h.plain = h.plain && lines <= maxLines
--- a/pkg/pipeline/listener_test.go
+++ b/pkg/pipeline/listener_test.go
@@ -84,19 +84,21 @@
 
 // TestReadAheadResumesOnIdleConnection guards against connections that are served serially for good after one upload.
 func TestReadAheadResumesOnIdleConnection(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		h := newGatedHandler()
-		s := startServer(t, h.ServeHTTP)
-		c := s.dial()
-		c.send("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc" + get("/safe/1"))
-		h.release("/x")
-		c.receive(t)
-		h.release("/safe/1")
-		c.receive(t)
-		c.send(gets("/safe/2", "/safe/3"))
-		assert.ElementsMatch(t, []string{"/x", "/safe/1", "/safe/2", "/safe/3"}, h.running())
-		assert.Equal(t, 1, s.counter("requests_read_ahead"))
-	})
+	for _, body := range []string{"Content-Length: 3\r\n\r\nabc", "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"} {
+		synctest.Test(t, func(t *testing.T) {
+			h := newGatedHandler()
+			s := startServer(t, h.ServeHTTP)
+			c := s.dial()
+			c.send("POST /x HTTP/1.1\r\nHost: h\r\n" + body + get("/safe/1"))
+			h.release("/x")
+			c.receive(t)
+			h.release("/safe/1")
+			c.receive(t)
+			c.send(gets("/safe/2", "/safe/3"))
+			assert.ElementsMatch(t, []string{"/x", "/safe/1", "/safe/2", "/safe/3"}, h.running())
+			assert.Equal(t, 1, s.counter("requests_read_ahead"))
+		})
+	}
 }
 
 // TestDisconnectCancelsAllRequests guards against requests that go on after their caller left, while the bytes of further requests hide
--- a/pkg/pipeline/serial_test.go
+++ b/pkg/pipeline/serial_test.go
@@ -42,6 +42,8 @@
 		"POST " + target + " HTTP/1.1\r\nHost: h\r\nContent-Length: 5000\r\n\r\n" + strings.Repeat("GET /safe/9 HTTP/1.1\r\n\r\n", 5000)[:5000],
 		"POST " + target + " HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n\r\n",
 		"POST " + target + " HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n5;a=b\r\nabcde\r\n0\r\n\r\n",
+		"POST " + target + " HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\n01\r\nf\r\n0\r\n\r\n",
+		"POST " + target + " HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\n0\r\nA: b\r\n\r\n",
 		get + "Content-Length: 30\r\n\r\nGET /safe/9 HTTP/1.1\r\nHost: h\r\n",
 		get + "Expect: 100-continue\r\n\r\n",
 		"PUT " + target + " HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\nab",
--- a/pkg/pipeline/serve.go
+++ b/pkg/pipeline/serve.go
@@ -74,7 +74,7 @@
 		c.stop()
 		return
 	}
-	if !c.closing && c.parsed == c.finished && !c.framer.isInHead() && c.framer.body == 0 && len(c.unread) == 0 {
+	if !c.closing && c.parsed == c.finished && !c.framer.isInHead() && !c.framer.isInBody() && len(c.unread) == 0 {
 		c.serial = false
 	}
 	if c.parsed == c.finished {
