--- a/pkg/pipeline/framer_test.go
+++ b/pkg/pipeline/framer_test.go
@@ -44,7 +44,8 @@
 	return []string{
 		"GET /a?b=c" + h + "\r\n", "HEAD /a" + h + "X-Y: z\r\n\r\n", "POST /a" + h + "Content-Length: 3\r\n\r\nabc", "PUT /" + h + "Content-Length: 0\r\n\r\n",
 		"POST /a" + h + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", "POST /a" + h + "Transfer-Encoding: chunked\r\n\r\n0a\r\nabc\r\n0\r\n\r\n\r\n1;x=y\r\na\r\n0\r\nA: b\r\n\r\n",
-		"POST /a" + h + "Transfer-Encoding: chunked\r\nContent-Length: 2\r\n\r\n0\r\n\r\n", "GET /a HTTP/1.0\r\n\r\n", "GET /a\nHost: h\n\n", "GET /a" + h + " b\r\n\r\n",
+		"POST /a" + h + "Transfer-Encoding: chunked\r\nContent-Length: 2\r\n\r\n0\r\n\r\n", "GET /a HTTP/1.0\r\n\r\n",
+		"POST /a" + h + "Transfer-Encoding: chunked\r\n\r\n1c\r\nGET /b HTTP/1.1\r\nHost: h\r\n\r\n\r\n0\r\n\r\n", "GET /a\nHost: h\n\n", "GET /a" + h + " b\r\n\r\n",
 		"GET http://h/a" + h + "\r\n", "OPTIONS *" + h + "\r\n", "CONNECT h:1" + h + "\r\n", "\r\nGET /a" + h + "\r\n", "GET /a" + h + "Content-Length: 1, 1\r\n\r\na",
 		"GET /a" + h + "Connection: keep-alive\r\nAccept: */*\r\n\r\n", "GET /a" + h + "Content-Length: 5\r\nContent-Length: 5\r\n\r\nabcde",
 	}
