--- a/pkg/pipeline/listener_test.go
+++ b/pkg/pipeline/listener_test.go
@@ -84,7 +84,7 @@
 
 // TestReadAheadResumesOnIdleConnection guards against connections that are served serially for good after one upload.
 func TestReadAheadResumesOnIdleConnection(t *testing.T) {
-	for _, body := range []string{"Content-Length: 3\r\n\r\nabc", "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"} {
+	for _, body := range []string{"Content-Length: 3\r\n\r\nabc", "Transfer-Encoding: chunked\r\n\r\n1A\r\nabcdefghijklmnopqrstuvwxyz\r\n0\r\n\r\n"} {
 		synctest.Test(t, func(t *testing.T) {
 			h := newGatedHandler()
 			s := startServer(t, h.ServeHTTP)
