--- a/pkg/edge/control.go
+++ b/pkg/edge/control.go
@@ -12,19 +12,9 @@
 	"github.com/azuretiller/azuretiller/pkg/leader"
 	"github.com/azuretiller/azuretiller/pkg/member"
 	"github.com/azuretiller/azuretiller/pkg/message"
-	"github.com/azuretiller/azuretiller/pkg/scheduler"
-	"github.com/azuretiller/azuretiller/pkg/tokenbucket"
 	"github.com/azuretiller/azuretiller/platform"
 )
 
-const (
-	// crossZoneCost is the placement cost of sending a request to another zone, as a fraction of the value of a successful answer.
-	// Traffic between zones is billed by the byte.
-	crossZoneCost = 0.03
-	// crossZoneCostPerKiB is the additional cost for each 1,024 bytes of the bodies of request and answer, as a fraction of the same value.
-	crossZoneCostPerKiB = 0.0035
-)
-
 // leaderReadResult is the result of reading the leader record for the membership of this VM.
 type leaderReadResult struct {
 	record azuretiller.LeaderRecord
@@ -302,22 +292,6 @@
 	e.logEvent("leading", log.Fields{"term": term, "version": e.revision()})
 }
 
-func (e *Edge) params() leader.Params {
-	b := e.processSettings.Bounds
-	return leader.Params{
-		Scheduler: scheduler.Params{
-			RetryRatio: b.RetryRatio, RetrySlack: b.RetrySlack,
-			CrossZoneCost: crossZoneCost, CrossZoneCostPerKiB: crossZoneCostPerKiB, KeepInZone: e.processSettings.KeepInZone, FavorUrgent: e.processSettings.FavorUrgent,
-		},
-		RateTolerance: rateTolerance(b),
-		Rollout:       rolloutParams(b),
-	}
-}
-
-func rateTolerance(b platform.Bounds) tokenbucket.Tolerance {
-	return tokenbucket.Tolerance{Ratio: b.RateTolerance, Slack: b.RateSlack, Window: b.RateWindow}
-}
-
 // reload applies new bounds. The settings outside Bounds change only at a restart.
 func (e *Edge) reload(s platform.Settings) {
 	e.processSettings.Bounds = s.Bounds
