--- a/pkg/scheduler/zone_pass.go
+++ b/pkg/scheduler/zone_pass.go
@@ -32,7 +32,7 @@
 		sameUrgency, rest = splitUrgency(rest)
 		// Requests without servers in their own zone get every n-th slot before the requests of the n-1 zones with servers.
 		if int(sc.tickets.last)%(len(sc.zones)+1) == 0 {
-			decisions = sc.drainHomeless(now, sameUrgency, decisions)
+			decisions = sc.drainUnserved(now, sameUrgency, decisions)
 		}
 		for _, q := range sameUrgency {
 			if z := sc.zone(q.zone); q.requests.Len() > 0 && z != nil && z.hasFreeCapacity(now) && sc.mayStay(now, z) {
@@ -105,7 +105,7 @@
 		var sameUrgency []*queue
 		sameUrgency, rest = splitUrgency(rest)
 		if int(sc.tickets.last)%(len(sc.zones)+1) == 0 {
-			if decisions := sc.drainHomeless(now, sameUrgency, nil); len(decisions) > 0 {
+			if decisions := sc.drainUnserved(now, sameUrgency, nil); len(decisions) > 0 {
 				return decisions
 			}
 		}
@@ -153,9 +153,9 @@
 	return zoneflow.Candidates{Own: 1 - retryableDiscount*(1-z.bestSuccess), Elsewhere: 1}
 }
 
-// mayEnter reports whether a zone with at most one free slot may accept requests of the queue of another zone. It has no slots for guests.
+// mayEnter reports whether a zone with at most one free slot may accept requests of the queue of another zone. It has no slots for requests of other zones.
 func (sc *Scheduler) mayEnter(now time.Time, q *queue, z *zoneServers) bool {
-	return z.free > sc.measure(now, z, q.urgency).Waiting || sc.isHomeless(now, sc.zone(q.zone))
+	return z.free > sc.measure(now, z, q.urgency).Waiting || sc.lacksServers(now, sc.zone(q.zone))
 }
 
 // addFree adds to the number of free slots after one of a server was taken or freed.
@@ -171,18 +171,18 @@
 	return !sc.params.KeepInZone || now.Sub(sc.zonesPassedAt) >= zonePassInterval
 }
 
-// drainHomeless assigns at most one request of each queue whose zone has no usable servers.
-func (sc *Scheduler) drainHomeless(now time.Time, queues []*queue, decisions []Decision) []Decision {
+// drainUnserved assigns at most one request of each queue whose zone has no usable servers.
+func (sc *Scheduler) drainUnserved(now time.Time, queues []*queue, decisions []Decision) []Decision {
 	for _, q := range queues {
-		if q.requests.Len() > 0 && sc.isHomeless(now, sc.zone(q.zone)) && sc.hasFreeCapacity(now) {
+		if q.requests.Len() > 0 && sc.lacksServers(now, sc.zone(q.zone)) && sc.hasFreeCapacity(now) {
 			decisions = sc.drain(now, q, nil, 1, decisions)
 		}
 	}
 	return decisions
 }
 
-// isHomeless reports whether a zone, which may be nil, has no server that is likely to run a request.
-func (sc *Scheduler) isHomeless(now time.Time, z *zoneServers) bool {
+// lacksServers reports whether a zone, which may be nil, has no server that is likely to run a request.
+func (sc *Scheduler) lacksServers(now time.Time, z *zoneServers) bool {
 	if z == nil {
 		return true
 	}
--- a/pkg/scheduler/zones.go
+++ b/pkg/scheduler/zones.go
@@ -213,16 +213,16 @@
 // bestElsewhere returns the best server with a free slot in that one of the other zones which accepts the request and has the largest share
 // of its slots free.
 func (sc *Scheduler) bestElsewhere(now time.Time, own *zoneServers, w *waitingRequest, flow zoneflow.Flow, suspected bool, bestBusy *float64) *server {
-	urgency, claim := math.MaxInt, zoneflow.Guest
+	urgency, claim := math.MaxInt, zoneflow.Foreign
 	isLate := sc.isLate(now, w)
 	switch {
-	case sc.isHomeless(now, own):
-		claim = zoneflow.Homeless
+	case sc.lacksServers(now, own):
+		claim = zoneflow.Unserved
 	case suspected || isLate:
 		urgency, claim = w.urgency(), zoneflow.Late
 	}
 	best := sc.bestAccepting(now, own, w, flow, urgency, claim, false, bestBusy)
-	if best == nil && (isLate || claim == zoneflow.Homeless) {
+	if best == nil && (isLate || claim == zoneflow.Unserved) {
 		// If the servers of all zones fail, a suspected one is better than none.
 		best = sc.bestAccepting(now, own, w, flow, urgency, claim, true, bestBusy)
 	}
--- a/pkg/zoneflow/flow.go
+++ b/pkg/zoneflow/flow.go
@@ -52,12 +52,12 @@
 type Claim int
 
 const (
-	// Guest is a request that leaves the slots which the waiting requests of the other zone need, and its reserve.
-	Guest Claim = iota
+	// Foreign is a request that leaves the slots which the waiting requests of the other zone need, and its reserve.
+	Foreign Claim = iota
 	// Late is a request that may miss its target latency otherwise. It leaves only the slots which the waiting requests need.
 	Late
-	// Homeless is a request without servers in its own zone. It competes for every free slot.
-	Homeless
+	// Unserved is a request without servers in its own zone. It competes for every free slot.
+	Unserved
 )
 
 // Candidates are the success probabilities that a request may choose from; 0 means that there is no such server. Own and Elsewhere are
@@ -83,7 +83,7 @@
 // Accepts reports whether a zone has a free slot for a request of another zone.
 func (f Flow) Accepts(z Zone, c Claim) bool {
 	switch c {
-	case Homeless:
+	case Unserved:
 		return z.Free > 0
 	case Late:
 		return z.Free > z.Waiting
--- a/pkg/zoneflow/flow_test.go
+++ b/pkg/zoneflow/flow_test.go
@@ -90,15 +90,15 @@
 func TestZoneKeepsSlotsForItsOwnRequests(t *testing.T) {
 	for _, c := range []struct {
 		zone                  Zone
-		guest, late, homeless bool
+		foreign, late, unserved bool
 	}{
 		{Zone{Slots: 60, Free: 20}, true, true, true},
 		{Zone{Slots: 60, Free: 3}, false, true, true},
 		{Zone{Slots: 60, Free: 5, Waiting: 5}, false, false, true},
 		{Zone{Slots: 60}, false, false, false},
 	} {
-		assert.Equal(t, c.guest, testFlow().Accepts(c.zone, Guest))
+		assert.Equal(t, c.foreign, testFlow().Accepts(c.zone, Foreign))
 		assert.Equal(t, c.late, testFlow().Accepts(c.zone, Late))
-		assert.Equal(t, c.homeless, testFlow().Accepts(c.zone, Homeless))
+		assert.Equal(t, c.unserved, testFlow().Accepts(c.zone, Unserved))
 	}
 }
