Round the expected wait to a nanosecond

Cause: the cost of the requests ahead is a sum over a map, whose last bits depend on the order, and cutting off the fraction gave 154.660699 or 154.660700 ms for the same queue.

--- a/pkg/scheduler/queue.go
+++ b/pkg/scheduler/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -38,7 +39,8 @@
 	}
 	slots := float64(max(sc.slots(), 1))
 	left := max(slots-urgent, minLeftShare*slots)
-	return time.Duration((ahead + cost(r.Route)) / left * float64(time.Second))
+	// The sum differs in its last bits with the order of the flows, so that cutting off the fraction would give one of two times.
+	return time.Duration(math.Round((ahead + cost(r.Route)) / left * float64(time.Second)))
 }
 
 func (sc *Scheduler) slots() int {
