--- a/pkg/zoneflow/flow_test.go
+++ b/pkg/zoneflow/flow_test.go
@@ -89,7 +89,7 @@
 // TestZoneKeepsSlotsForItsOwnRequests guards against requests of other zones that take the slots a zone needs itself.
 func TestZoneKeepsSlotsForItsOwnRequests(t *testing.T) {
 	for _, c := range []struct {
-		zone                  Zone
+		zone                    Zone
 		foreign, late, unserved bool
 	}{
 		{Zone{Slots: 60, Free: 20}, true, true, true},
