--- a/pkg/edge/reads.go
+++ b/pkg/edge/reads.go
@@ -271,8 +271,12 @@
 		}
 	}
 	for _, c := range e.invalidEntries.Update(now, page) {
-		// The id may contain any bytes, so all but printable ASCII characters are escaped.
-		quoted := strconv.QuoteToASCII(string(c.ID))
-		e.common.Log.WithFields(log.Fields{"server": quoted[1 : len(quoted)-1], "reason": c.Invalid}).Warn("invalid registry entry")
+		e.common.Log.WithFields(log.Fields{"server": printable(string(c.ID)), "reason": c.Invalid}).Warn("invalid registry entry")
 	}
 }
+
+// printable escapes all but printable ASCII characters, since keys in the store may contain any bytes.
+func printable(s string) string {
+	quoted := strconv.QuoteToASCII(s)
+	return quoted[1 : len(quoted)-1]
+}
--- a/pkg/edge/rollouts.go
+++ b/pkg/edge/rollouts.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"strconv"
 	"syscall"
 	"time"
 
@@ -168,9 +167,7 @@
 		if c.Rollout == nil {
 			continue
 		}
-		// The service may contain any bytes, so all but printable ASCII characters are escaped.
-		quoted := strconv.QuoteToASCII(string(c.Rollout.Service))
-		fields := log.Fields{"service": quoted[1 : len(quoted)-1]}
+		fields := log.Fields{"service": printable(string(c.Rollout.Service))}
 		switch {
 		case c.Rollout.Invalid != nil:
 			e.common.Metrics.Counter("rollout_orders_invalid").Inc(1)
--- a/pkg/scheduler/urgency.go
+++ b/pkg/scheduler/urgency.go
@@ -44,8 +44,11 @@
 	return d.slotTime / demandWindow.Seconds()
 }
 
-// countDemand records that a request was admitted.
+// countDemand records that a request was admitted. Only urgentDemand uses it.
 func (sc *Scheduler) countDemand(now time.Time, r Request) {
+	if !sc.params.FavorUrgent {
+		return
+	}
 	i, found := slices.BinarySearchFunc(sc.demands, r.urgency(), func(d *demand, u int) int { return d.urgency - u })
 	if !found {
 		sc.demands = slices.Insert(sc.demands, i, &demand{urgency: r.urgency(), at: now})
