Review: valid routes that are never served

A new version adds a route whose prefix has an encoded character and one whose host has a capital letter. Both are answered with 404 for good.

--- a/review/rig2/cases.go
+++ b/review/rig2/cases.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"fmt"
 	"io"
 	"net"
@@ -243,3 +244,41 @@
 	f.logf("BUDGET: %d arrivals later than contact after the third crash (at most 3); %d other requests ended without an answer of a worker and without a promise", later, lost)
 	return later <= 3, nil
 }
+
+// runNames adds routes whose prefix has encoded characters, or whose host has capital letters.
+func runNames(f *fleet, trouble bool) (bool, error) {
+	const configApply = 2 * time.Second
+	for i := range 3 {
+		f.addVM([]string{"perth-north", "perth-south"}[i%2], 1)
+		f.addWorker("orders-svc", []string{"perth-north", "perth-south"}[i%2])
+	}
+	first := []map[string]any{route("confirm", "/confirm/", "unsafe", "orders-svc"), service("orders-svc"), tenant("cuka620", keyA), limits()}
+	f.setConfig(1, first)
+	if err := f.startAll(4 * time.Second); err != nil {
+		return false, err
+	}
+	prefix, host := "/requisicao/", "pecas.example"
+	if trouble {
+		prefix, host = "/requisi%C3%A7%C3%A3o/", "Pecas.example"
+	}
+	byHost := route("parts", "/parts/", "unsafe", "orders-svc")
+	byHost["spec"].(map[string]any)["host"] = host
+	f.setConfig(2, append([]map[string]any{route("requisition", prefix, "unsafe", "orders-svc"), byHost}, first...))
+	time.Sleep(configApply + time.Second)
+	refused := 0
+	for n := range 20 {
+		for _, r := range []request{
+			{target: "/confirm/" + fmt.Sprint(n)},
+			{target: prefix + fmt.Sprint(n)},
+			{target: "/parts/" + fmt.Sprint(n), host: host},
+		} {
+			r.method, r.key, r.id, r.deadline, r.body = "POST", keyA, f.newID(), 3*time.Second, "{}"
+			if a := f.send(f.vms[n%len(f.vms)], r); a.status == http.StatusNotFound {
+				refused++
+				f.logf("CONFIG: %s (host %q, path %s) gets 404, although the route has been in the configuration for more than configApply", r.id, cmp.Or(r.host, hostName), r.target)
+			}
+		}
+	}
+	f.logf("%d of 60 requests got 404, 40 of them on the routes that were added", refused)
+	return refused == 0, nil
+}
--- a/review/rig2/client.go
+++ b/review/rig2/client.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"fmt"
 	"io"
 	"net"
@@ -17,6 +18,8 @@
 	method, target, key, id, body string
 	deadline                      time.Duration
 	headers                       []string
+	// host is the host name of the route, hostName if it is empty.
+	host string
 }
 
 // answer is what a consumer got.
@@ -38,7 +41,7 @@
 
 func (r request) text() string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Request-Attempt-Id: %s\r\nX-Deadline-Ms: %d\r\n", r.method, r.target, hostName, r.id, r.deadline.Milliseconds())
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Request-Attempt-Id: %s\r\nX-Deadline-Ms: %d\r\n", r.method, r.target, cmp.Or(r.host, hostName), r.id, r.deadline.Milliseconds())
 	if r.key != "" {
 		fmt.Fprintf(&b, "Authorization: Bearer %s\r\n", r.key)
 	}
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -25,7 +25,7 @@
 		os.Exit(cannotRun)
 	}
 	cases := map[string]func(f *fleet, trouble bool) (bool, error){
-		"early": runEarly, "slash": runSlash, "crashes": runCrashes, "key": runKey,
+		"early": runEarly, "slash": runSlash, "crashes": runCrashes, "key": runKey, "names": runNames,
 	}
 	run := cases[os.Args[1]]
 	if run == nil {
