Review: keep case 7 inside the limit of lost answers

The script lost answers for 4.07 s and 0.42 to 0.45 of those of a worker; 4 s and 0.4 are the limits that its claim quotes. Now at most 0.4 at every moment, for 3.7 s.

--- a/review/rig2/cases.go
+++ b/review/rig2/cases.go
@@ -92,9 +92,9 @@
 		w := f.addWorker("orders-svc", zones[i%2])
 		w.work = func(*http.Request) time.Duration { return 200 * time.Millisecond }
 		if i%2 == 0 {
-			// Half of the workers lose two of five answers.
+			// Half of the workers lose two of five answers, the third and the fifth, so that the share is never above 0.4.
 			var n atomic.Int64
-			w.losesAnswer = func() bool { return losing.Load() && n.Add(1)%5 < 2 }
+			w.losesAnswer = func() bool { return losing.Load() && (n.Add(1)%5)%3 == 0 }
 		}
 	}
 	lookups := route("lookups", "/orders/lookup/", "safe", "orders-svc")
@@ -108,9 +108,11 @@
 		return false, err
 	}
 	losing.Store(trouble)
+	begin := time.Now()
+	f.logf("answers are lost from now on: %v", trouble)
 	unsafe := map[string]bool{}
 	var wait sync.WaitGroup
-	for n := range 200 {
+	for n := range 180 {
 		target := "/orders/lookup%2F17"
 		switch n % 8 {
 		case 6:
@@ -129,6 +131,7 @@
 		time.Sleep(20 * time.Millisecond)
 	}
 	losing.Store(false)
+	f.logf("no answer is lost any more, after %.2f s", time.Since(begin).Seconds())
 	wait.Wait()
 	ran := map[string][]run{}
 	for _, r := range f.runs() {
@@ -141,10 +144,21 @@
 			f.logf("TWICE: %s %s (%s) has an unsafe route and ran on %s and on %s", runs[0].method, runs[0].target, id, runs[0].worker, runs[1].worker)
 		}
 	}
-	f.logf("%d of %d unsafe requests ran more than once", twice, len(unsafe)*7/8)
+	f.logf("%d of %d unsafe requests ran more than once", twice, unsafeCount(unsafe))
 	return twice == 0, nil
 }
 
+// unsafeCount returns the number of unsafe requests.
+func unsafeCount(unsafe map[string]bool) int {
+	n := 0
+	for _, is := range unsafe {
+		if is {
+			n++
+		}
+	}
+	return n
+}
+
 // runKey sends requests that have, beside the key of the consumer, a header of their own for the backend server.
 func runKey(f *fleet, trouble bool) (bool, error) {
 	for i := range 3 {
