Wait in the test of Replayable until the source is being read

Cause: TestReplayableDoesNotWaitForSource waited until the lock of the source was held. The reader takes it before it checks once more whether it is the newest, so a new reader could be created in between, and the first one then failed with "request body reader was replaced by that of a later attempt". That is what NewReader promises; no request is affected.

Change: the source tells when a read of it has begun. The test still checks that the lock is held then, that Replayable does not wait for it, and that both readers get the byte.

--- a/pkg/replay/body_test.go
+++ b/pkg/replay/body_test.go
@@ -82,16 +82,20 @@
 // TestReplayableDoesNotWaitForSource guards against requests that cannot be tried again while an earlier attempt waits for a slow caller.
 func TestReplayableDoesNotWaitForSource(t *testing.T) {
 	source, caller := io.Pipe()
-	body := New(source, 1<<20, nil)
+	started := make(chan struct{}, 1)
+	body := New(io.MultiReader(readerFunc(func([]byte) (int, error) {
+		started <- struct{}{}
+		return 0, io.EOF
+	}), source), 1<<20, nil)
 	first := body.NewReader()
 	done := make(chan error)
 	go func() {
 		_, err := first.Read(make([]byte, 1))
 		done <- err
 	}()
-	for body.sourceMu.TryLock() {
-		body.sourceMu.Unlock()
-	}
+	// A reader that holds the lock, but has not begun to read the source, may be superseded.
+	<-started
+	assert.False(t, body.sourceMu.TryLock(), "the source is being read")
 	assert.True(t, body.Replayable())
 	second := body.NewReader()
 	go func() { _, _ = io.WriteString(caller, "x"); _ = caller.Close() }()
@@ -101,6 +105,12 @@
 	assert.Equal(t, "x", string(got))
 }
 
+// readerFunc is a reader that consists of its function.
+type readerFunc func(p []byte) (int, error)
+
+// Read calls the function.
+func (f readerFunc) Read(p []byte) (int, error) { return f(p) }
+
 // TestStopInterruptsRead checks that a request can end while its body is being read.
 func TestStopInterruptsRead(t *testing.T) {
 	source, caller := io.Pipe()
