Wait in the test of late clients until the request has ended

Cause: TestLateClientsAreClosed advanced the clock as soon as the caller had its response. net/http ends the request after that, so the connection could still count as running when the test swept once, and its idle time began only after the clock was advanced.

Change: the test waits until both connections await a request before it advances the clock. The checks are unchanged.

--- a/pkg/connlimit/fixture_test.go
+++ b/pkg/connlimit/fixture_test.go
@@ -69,6 +69,20 @@
 	f.offset += d
 }
 
+// waiting returns the number of connections that await the first byte of a request.
+func (f *fixture) waiting() (count int) {
+	f.limiter.mu.Lock()
+	defer f.limiter.mu.Unlock()
+	for c := range f.limiter.conns {
+		c.mu.Lock()
+		if c.phase == awaitingHead {
+			count++
+		}
+		c.mu.Unlock()
+	}
+	return count
+}
+
 func (f *fixture) isRefused(reason string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/pkg/connlimit/limiter_test.go
+++ b/pkg/connlimit/limiter_test.go
@@ -188,6 +188,8 @@
 	used.send(t, get)
 	status, _ = used.read()
 	require.Equal(t, 200, status, "an idle connection stays open")
+	// The caller may get its response before the server has ended the request.
+	require.Eventually(t, func() bool { return f.waiting() == 2 }, testTimeout, time.Millisecond, "both connections await a request")
 	f.advance(2 * time.Hour)
 	f.limiter.sweep()
 	unused.readClosed(t)
