Keep a VM running when a peer's connection cannot be accepted

What callers saw: `azuretiller serve` ended with exit code 1 while clients held many connections to the listener for other VMs. Nobody needs a secret for that.

Cause: mesh.Serve returned on any error of Accept, and the errgroup of the runtime then ended the process. A lack of descriptors is such an error, and only a closed listener is one that lasts.

Change: other errors are logged, and the next connection is accepted 100 ms later. The tests of clientlimits can start `azuretiller serve`; startProcess is split for that, its checks are unchanged.

Test: TestServeIdleConnections, 1,200 idle connections to a process that may open 700 descriptors.

--- a/cmd/standin/pkg/clientlimits/process_test.go
+++ b/cmd/standin/pkg/clientlimits/process_test.go
@@ -60,12 +60,10 @@
 }
 
 // startProcess builds the program and starts one VM with backend servers, and waits until it serves requests.
-func startProcess(t *testing.T, descriptors, serverCount int) *process {
+func startProcess(t *testing.T, descriptors, serverCount int, options ...string) *process {
 	t.Helper()
 	folder := t.TempDir()
-	program := filepath.Join(folder, "azuretiller")
-	output, err := exec.CommandContext(t.Context(), "go", "build", "-o", program, "github.com/azuretiller/azuretiller/cmd/azuretiller").CombinedOutput()
-	require.NoError(t, err, "%s", output)
+	program := buildProgram(t, folder)
 	store := keyedstore.New()
 	storeServer := httptest.NewServer(store.Handler())
 	t.Cleanup(storeServer.Close)
@@ -81,26 +79,44 @@
 	}))
 	settings := filepath.Join(folder, "settings.toml")
 	require.NoError(t, os.WriteFile(settings, []byte(formatSettings(strings.TrimPrefix(storeServer.URL, "http://"), descriptors)), 0o600))
+	command := exec.CommandContext(t.Context(), program, append([]string{"edge", "--log", "error"}, options...)...)
+	command.Env = append(os.Environ(), platform.SettingsVariable+"="+settings)
+	p := start(t, command, folder)
+	p.servers, p.maxFds = running, descriptors
+	p.requireAnswer(t, "at the start")
+	return p
+}
+
+// start starts a program, whose output goes to a file in the folder, and stops it at the end of the test.
+func start(t *testing.T, command *exec.Cmd, folder string) *process {
+	t.Helper()
 	log, err := os.Create(filepath.Join(folder, "log"))
 	require.NoError(t, err)
-	p := &process{command: exec.CommandContext(t.Context(), program, "edge", "--log", "error"), servers: running, maxFds: descriptors, exited: make(chan struct{})}
-	p.command.Env = append(os.Environ(), platform.SettingsVariable+"="+settings)
-	p.command.Stdout, p.command.Stderr = log, log
-	require.NoError(t, p.command.Start())
+	p := &process{command: command, exited: make(chan struct{})}
+	command.Stdout, command.Stderr = log, log
+	require.NoError(t, command.Start())
 	go func() {
 		defer close(p.exited)
-		_ = p.command.Wait()
+		_ = command.Wait()
 	}()
 	t.Cleanup(func() {
-		_ = p.command.Process.Kill()
+		_ = command.Process.Kill()
 		<-p.exited
 		_ = log.Close()
 	})
 	go p.sample()
-	p.requireAnswer(t, "at the start")
 	return p
 }
 
+// buildProgram builds the program in a folder and returns its path.
+func buildProgram(t *testing.T, folder string) string {
+	t.Helper()
+	program := filepath.Join(folder, "azuretiller")
+	output, err := exec.CommandContext(t.Context(), "go", "build", "-o", program, "github.com/azuretiller/azuretiller/cmd/azuretiller").CombinedOutput()
+	require.NoError(t, err, "%s", output)
+	return program
+}
+
 func startServers(t *testing.T, store *keyedstore.Store, count int) (servers []*backendserver.Server) {
 	t.Helper()
 	for i := range count {
--- a/pkg/mesh/mesh.go
+++ b/pkg/mesh/mesh.go
@@ -17,6 +17,7 @@
 	"github.com/azuretiller/azuretiller/pkg/forward"
 	"github.com/azuretiller/azuretiller/pkg/handshake"
 	"github.com/azuretiller/azuretiller/pkg/peerpb"
+	"github.com/azuretiller/azuretiller/pkg/timer"
 	"github.com/azuretiller/azuretiller/pkg/wire"
 )
 
@@ -25,6 +26,8 @@
 	firstMessageTimeout = 5 * time.Second
 	writeTimeout        = 5 * time.Second
 	keepAliveInterval   = 10 * time.Second
+	// acceptPause is the time after a failure to accept a connection.
+	acceptPause = 100 * time.Millisecond
 	streamWindowBytes   = 1 << 20
 	// maxFailedCalls is the number of calls in a row without an answer after which a new connection is opened.
 	maxFailedCalls = 3
@@ -72,9 +75,15 @@
 		if ctx.Err() != nil {
 			return nil
 		}
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return errors.Wrap(err, "accept connection of peer")
 		}
+		if err != nil {
+			// The listener remains usable, for example after a lack of descriptors.
+			m.common.Log.WithField("error", err).Warn("peer not accepted")
+			timer.Sleep(ctx, acceptPause)
+			continue
+		}
 		go m.serveConn(ctx, m.traffic.Wrap(conn))
 	}
 }
