Bound the time for a request body by the timeout of the request

What callers saw: `azuretiller serve` did not end after SIGTERM while a client sent its body byte by byte; on-call had to kill it.

Cause: each read of a body got 30 s of its own, and the start of the body is read for the fingerprint before the timeout of the request applies to anything. The drain waits for such a request for good. After a read that timed out, the deadline was also removed, so that net/http could wait for the rest of the body.

Change: reads end at the timeout of the request.

--- a/cmd/standin/pkg/clientlimits/serve_test.go
+++ b/cmd/standin/pkg/clientlimits/serve_test.go
@@ -1,11 +1,25 @@
 package clientlimits
 
 import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"syscall"
 	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
 
 	"github.com/azuretiller/azuretiller/cmd/standin/pkg/loopback"
 )
 
+// serveRequest returns the first lines of a request to "azuretiller serve".
+func serveRequest(method, path string) string {
+	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer %s\r\n", method, path, host, key)
+}
+
 // TestServeIdleConnections guards against idle connections to each of the listeners that exhaust the descriptors, which ended the process.
 func TestServeIdleConnections(t *testing.T) {
 	for _, c := range []struct {
@@ -19,3 +33,26 @@
 		})
 	}
 }
+
+// TestServeStopsBesideSlowBodies guards against a process that does not stop while callers send their bodies byte by byte.
+func TestServeStopsBesideSlowBodies(t *testing.T) {
+	p := startServe(t, maxFds)
+	for range 3 {
+		conn, err := new(net.Dialer).DialContext(t.Context(), "tcp", address(loopback.CallerPort))
+		require.NoError(t, err)
+		defer func() { _ = conn.Close() }()
+		_, err = io.WriteString(conn, serveRequest(http.MethodPost, "/orders/1")+fmt.Sprintf("Content-Length: %d\r\n\r\n", uploadSize))
+		require.NoError(t, err)
+		go func() {
+			for _, err := conn.Write([]byte("x")); err == nil; _, err = conn.Write([]byte("x")) {
+				time.Sleep(sampleInterval)
+			}
+		}()
+	}
+	p.requireAnswer(t, "beside slow bodies")
+	require.NoError(t, p.command.Process.Signal(syscall.SIGTERM))
+	ctx, cancel := context.WithTimeout(t.Context(), guardTimeout)
+	defer cancel()
+	p.waitUntil(ctx)
+	require.NoError(t, ctx.Err(), "the process ends")
+}
--- a/pkg/ingress/forward.go
+++ b/pkg/ingress/forward.go
@@ -5,8 +5,11 @@
 	"crypto/sha256"
 	"io"
 	"net/http"
+	"os"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/azuretiller/azuretiller"
 	"github.com/azuretiller/azuretiller/pkg/forward"
 	"github.com/azuretiller/azuretiller/pkg/headers"
@@ -34,7 +37,12 @@
 	body := replay.New(c.request.Body, maxReplayBytes, nil)
 	idempotent := c.route.IsIdempotent(c.request.Method)
 	c.requestID = azuretiller.RequestID(c.request.Header.Get(headers.IdempotencyKey))
-	fingerprint := c.fingerprint(body)
+	fingerprint, err := c.fingerprint(body)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		c.writer.Header().Set("Connection", "close")
+		c.refuse(azuretiller.CodeBodyTimeout, 0, "")
+		return
+	}
 	if idempotent || c.requestID == "" {
 		c.forward(ctx, body, c.requestHead(fingerprint, idempotent))
 		return
@@ -49,36 +57,50 @@
 	c.request.Body = &deadlineBody{
 		ReadCloser: c.request.Body,
 		controller: http.NewResponseController(c.writer),
+		end:        time.Now().Add(c.timeout()),
 	}
 }
 
+// timeout returns the timeout of the request.
+func (c *call) timeout() time.Duration {
+	return c.route.RequestTimeout(c.request.Header.Get(headers.Timeout))
+}
+
 // deadlineBody is a request body that sets a new read deadline before each read.
 type deadlineBody struct {
 	io.ReadCloser
 	controller *http.ResponseController
+	// end is when the request times out.
+	end time.Time
 }
 
-// Read reads from the body within ioTimeout.
+// Read reads from the body within ioTimeout and before the request times out.
 func (b *deadlineBody) Read(p []byte) (int, error) {
-	_ = b.controller.SetReadDeadline(time.Now().Add(ioTimeout))
+	deadline := time.Now().Add(ioTimeout)
+	if b.end.Before(deadline) {
+		deadline = b.end
+	}
+	_ = b.controller.SetReadDeadline(deadline)
 	n, err := b.ReadCloser.Read(p)
-	if err != nil {
+	if err == io.EOF {
+		// After another error, net/http must not wait for the rest of the body.
 		_ = b.controller.SetReadDeadline(time.Time{})
 	}
 	return n, err
 }
 
-// fingerprint returns a hash of the team, route, method, target and start of the body. Equal requests have equal hashes.
-func (c *call) fingerprint(body *replay.Body) []byte {
+// fingerprint returns a hash of the team, route, method, target and start of the body. Equal requests have equal hashes. It returns the error
+// with which the body ended early.
+func (c *call) fingerprint(body *replay.Body) (hashed []byte, err error) {
 	hash := sha256.New()
 	for _, part := range []string{string(c.team.ID), string(c.route.ID), c.request.Method, c.request.URL.RequestURI()} {
 		_, _ = io.WriteString(hash, part)
 		_, _ = hash.Write([]byte{0})
 	}
 	if c.request.ContentLength != 0 {
-		_, _ = io.CopyN(hash, body.NewReader(), maxReplayBytes/2)
+		_, err = io.CopyN(hash, body.NewReader(), maxReplayBytes/2)
 	}
-	return hash.Sum(nil)
+	return hash.Sum(nil), err
 }
 
 func (c *call) requestHead(fingerprint []byte, idempotent bool) forward.Request {
@@ -118,7 +140,7 @@
 // forward sends the request to one pool after the other until one answers with CodeOK or the request cannot be safely sent
 // again. It returns the response that the caller received, for the ID store.
 func (c *call) forward(ctx context.Context, body *replay.Body, head forward.Request) idempotency.Response {
-	deadline := c.started.Add(c.route.RequestTimeout(c.request.Header.Get(headers.Timeout)))
+	deadline := c.started.Add(c.timeout())
 	failure := forward.Response{Code: azuretiller.CodeNoServer, RetryAfter: time.Second}
 	pools := c.handler.picker.Order(c.snapshot.Topology[c.route.Service])
 	for _, p := range pools[:min(len(pools), maxPools)] {
