Limit the clients of `serve` with the limiter of `edge`

What callers saw: `azuretiller serve` had no limit but the size of a head, so that a few hundred clients filled its memory, also without a key, and also on the operators' address.

Cause: its three listeners had net/http's limits only. A head of short lines takes up to a hundred times its size, nothing limited all heads together, and nothing the number of connections.

Change: pkg/clientlimit divides memory and descriptors among the listeners of a process; both programs use it (from pkg/edge, with the test of its figures, which is unchanged but for the constructor). New settings `memory` and `files`, checked, with the defaults of edge. Connections of other VMs are limited in number until their handshake has succeeded.

--- a/cmd/azuretiller/pkg/app/app.go
+++ b/cmd/azuretiller/pkg/app/app.go
@@ -81,6 +81,7 @@
 	if err != nil {
 		return err
 	}
+	limitMemory(s.MemoryBytes)
 	p, err := vmprocess.New(ctx, s, logger)
 	if err != nil {
 		return err
--- a/cmd/azuretiller/pkg/app/edge.go
+++ b/cmd/azuretiller/pkg/app/edge.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"strconv"
 	"syscall"
 	"time"
@@ -29,9 +28,6 @@
 	metricsInterval = 2 * time.Second
 	// settingsPollInterval is the time between checks of the settings file, which may change without a SIGHUP.
 	settingsPollInterval = 2 * time.Second
-	// runtimeMemoryShare is the share of the memory of the VM above which the runtime collects garbage more often. The rest is left for the
-	// program, the buffers of the kernel and what is allocated during a collection.
-	runtimeMemoryShare = 0.6
 )
 
 func edgeCommand(out io.Writer) *cobra.Command {
@@ -61,10 +57,7 @@
 }
 
 func runEdge(ctx context.Context, s platform.Settings, file, level string, metricsPort int, out io.Writer) error {
-	if s.MemoryBytes > 0 {
-		// The limit covers the memory of the runtime but not the program itself.
-		debug.SetMemoryLimit(int64(float64(s.MemoryBytes) * runtimeMemoryShare))
-	}
+	limitMemory(s.MemoryBytes)
 	backgroundCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	writer := asyncwriter.New(out)
 	writerDone := make(chan struct{})
--- a/cmd/standin/pkg/clientlimits/serve_test.go
+++ b/cmd/standin/pkg/clientlimits/serve_test.go
@@ -20,6 +20,38 @@
 	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer %s\r\n", method, path, host, key)
 }
 
+// TestServeLegalHeadsOfManyLines guards against legal requests of very many lines that fill the memory while their bodies do not arrive.
+func TestServeLegalHeadsOfManyLines(t *testing.T) {
+	p := startServe(t, maxFds)
+	load{address: address(loopback.CallerPort), connections: 600, send: func(conn net.Conn, number int) {
+		start := serveRequest(http.MethodPost, "/orders/1") + "Content-Length: 5\r\n"
+		_, _ = io.WriteString(conn, formatHead(start, number, legalSize)+"\r\n")
+	}}.run(t, p.process)
+	p.check(t)
+}
+
+// TestServeAlmostCompleteHeads guards against heads that lack only the empty line at their end.
+func TestServeAlmostCompleteHeads(t *testing.T) {
+	p := startServe(t, maxFds)
+	load{address: address(loopback.CallerPort), connections: 600, send: func(conn net.Conn, number int) {
+		_, _ = io.WriteString(conn, formatHead(serveRequest(http.MethodPost, "/orders/1"), number, legalSize))
+	}}.run(t, p.process)
+	p.check(t)
+}
+
+// TestServeHeadsToOperatorListener guards against the same heads, without a token, on the operators' listener.
+func TestServeHeadsToOperatorListener(t *testing.T) {
+	p := startServe(t, maxFds)
+	load{address: address(operatorPort), connections: 600, send: func(conn net.Conn, number int) {
+		head := formatHead("POST /edits HTTP/1.1\r\nHost: "+host+"\r\nContent-Length: 5\r\n", number, legalSize)
+		if number%2 == 0 {
+			head += "\r\n"
+		}
+		_, _ = io.WriteString(conn, head)
+	}}.run(t, p.process)
+	p.check(t)
+}
+
 // TestServeIdleConnections guards against idle connections to each of the listeners that exhaust the descriptors, which ended the process.
 func TestServeIdleConnections(t *testing.T) {
 	for _, c := range []struct {
--- a/pkg/connlimit/conn.go
+++ b/pkg/connlimit/conn.go
@@ -48,6 +48,8 @@
 type conn struct {
 	net.Conn
 	limiter *Limiter
+	// plain means that the bytes are not HTTP and are not counted.
+	plain bool
 
 	mu     sync.Mutex
 	phase  phase
@@ -85,7 +87,7 @@
 		return 0, os.ErrDeadlineExceeded
 	}
 	n, err := c.Conn.Read(p)
-	if n > 0 {
+	if n > 0 && !c.plain {
 		if refusal := c.count(p[:n]); refusal != "" {
 			// net/http closes the connection without a response of its own after a timeout.
 			_ = c.SetWriteDeadline(time.Now().Add(refuseTimeout))
@@ -253,10 +255,21 @@
 	c.refused = !c.reserve()
 }
 
+// keep makes a connection one that is not closed in favor of others.
+func (c *conn) keep() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.setPhase(responding)
+}
+
 // isLate reports whether the client has taken too long for a head, without one, or to read a part of a response.
 func (c *conn) isLate(now time.Time, limits Limits) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.plain {
+		// The protocol has its own time limits.
+		return false
+	}
 	if !c.writing.IsZero() {
 		return now.Sub(c.writing) > limits.IdleTimeout
 	}
@@ -275,7 +288,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
-	case !c.writing.IsZero() && c.limiter.now().Sub(c.writing) > slowWrite:
+	case !c.plain && !c.writing.IsZero() && c.limiter.now().Sub(c.writing) > slowWrite:
 		return awaitsClient, c.writing
 	case c.phase == readingBody:
 		return awaitsClient, c.since
--- a/pkg/connlimit/limiter.go
+++ b/pkg/connlimit/limiter.go
@@ -71,6 +71,34 @@
 	return &listener{Listener: inner, limiter: l}
 }
 
+// ListenPlain returns a listener whose connections are limited in number but do not speak HTTP. At the maximum, those that Keep was not called
+// for make room for others.
+func (l *Limiter) ListenPlain(inner net.Listener) net.Listener {
+	return &listener{Listener: inner, limiter: l, plain: true}
+}
+
+// Keep means that the client of a connection from ListenPlain is known, so that the connection is not closed in favor of others. Wrappers
+// of the connection must have a method NetConn that returns the wrapped one.
+func Keep(nc net.Conn) {
+	for {
+		if c, ok := nc.(*conn); ok {
+			c.keep()
+			return
+		}
+		wrapper, ok := nc.(interface{ NetConn() net.Conn })
+		if !ok {
+			return
+		}
+		nc = wrapper.NetConn()
+	}
+}
+
+// Server returns an HTTP server with the limits, for connections from Listen. They take the place of the time and size limits of net/http,
+// which cannot change while it serves.
+func (l *Limiter) Server(handler http.Handler) *http.Server {
+	return &http.Server{Handler: l.Handler(handler), ConnContext: l.ConnContext, ConnState: l.ConnState}
+}
+
 // ConnContext makes the connection known to Handler; it is meant for http.Server.
 func (l *Limiter) ConnContext(ctx context.Context, c net.Conn) context.Context {
 	return context.WithValue(ctx, connKey{}, c)
@@ -167,6 +195,7 @@
 type listener struct {
 	net.Listener
 	limiter *Limiter
+	plain   bool
 }
 
 // Accept returns the next connection that is admitted.
@@ -177,7 +206,7 @@
 			// The error is not wrapped, since net/http continues after temporary ones, such as a lack of descriptors.
 			return nil, err
 		}
-		c := &conn{Conn: accepted, limiter: l.limiter, since: l.limiter.now()}
+		c := &conn{Conn: accepted, limiter: l.limiter, plain: l.plain, since: l.limiter.now()}
 		if l.limiter.admit(c) {
 			return c, nil
 		}
--- a/pkg/edge/clients_test.go
+++ b/pkg/edge/clients_test.go
@@ -9,21 +9,8 @@
 	"github.com/azuretiller/azuretiller/pkg/config"
 	"github.com/azuretiller/azuretiller/pkg/connlimit"
 	"github.com/azuretiller/azuretiller/pkg/gateway"
-	"github.com/azuretiller/azuretiller/platform"
 )
 
-// TestConnectionsFitDescriptorsAndMemory guards against listeners that together take the descriptors of files and of connections to servers, or
-// more memory than the VM has.
-func TestConnectionsFitDescriptorsAndMemory(t *testing.T) {
-	for _, c := range []struct {
-		memoryMB, fds, callers, others int
-	}{{136, 2870, 544, 136}, {184, 2870, 736, 184}, {284, 4100, 1136, 284}, {536, 8192, 2144, 536}, {536, 700, 175, 50}, {0, 0, 544, 136}, {1, 1, 1, 1}} {
-		e := &Edge{processSettings: platform.Settings{MemoryBytes: int64(c.memoryMB) << 20, MaxFds: c.fds}}
-		assert.Equal(t, c.callers, e.maxCallerConns(), c)
-		assert.Equal(t, c.others, e.maxOtherConns(), c)
-	}
-}
-
 // TestClientLimitsFollowConfiguration guards against listeners that use other limits than the configuration, or unusable ones.
 func TestClientLimitsFollowConfiguration(t *testing.T) {
 	e := &Edge{}
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -13,7 +13,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/azuretiller/azuretiller"
-	"github.com/azuretiller/azuretiller/pkg/bytebudget"
+	"github.com/azuretiller/azuretiller/pkg/clientlimit"
 	"github.com/azuretiller/azuretiller/pkg/common"
 	"github.com/azuretiller/azuretiller/pkg/config"
 	"github.com/azuretiller/azuretiller/pkg/connlimit"
@@ -193,8 +193,8 @@
 
 // listenHTTP opens the listeners of the VM. It returns the server for callers' requests and the others.
 func (e *Edge) listenHTTP(ctx context.Context) (callers httpServer, others []httpServer, err error) {
-	heads := bytebudget.New(e.headMemory())
-	callers, err = e.listenCallers(ctx, e.newLimiter(heads, e.maxCallerConns()))
+	limits := e.newClientLimits()
+	callers, err = e.listenCallers(ctx, limits.CallerLimiter())
 	if err != nil {
 		return httpServer{}, nil, err
 	}
@@ -207,7 +207,7 @@
 		{e.processSettings.ReadinessAddress, readyRoutes(e.State)},
 		{e.processSettings.PeerAddress, e.peerRoutes()},
 	} {
-		other, err := newHTTPServer(ctx, h.address, h.handler, e.newLimiter(heads, e.maxOtherConns()))
+		other, err := newHTTPServer(ctx, h.address, h.handler, limits.OtherLimiter())
 		if err != nil {
 			return httpServer{}, nil, err
 		}
@@ -218,7 +218,7 @@
 
 // listenCallers opens the listener for callers. The limiter counts what net/http reads, so that the requests that are read ahead lie below it.
 func (e *Edge) listenCallers(ctx context.Context, limiter *connlimit.Limiter) (httpServer, error) {
-	l, err := listen(ctx, e.processSettings.CallerAddress)
+	l, err := clientlimit.Listen(ctx, e.processSettings.CallerAddress)
 	if err != nil {
 		return httpServer{}, err
 	}
@@ -231,28 +231,17 @@
 }
 
 func newHTTPServer(ctx context.Context, address string, handler http.Handler, limiter *connlimit.Limiter) (httpServer, error) {
-	l, err := listen(ctx, address)
+	l, err := clientlimit.Listen(ctx, address)
 	if err != nil {
 		return httpServer{}, err
 	}
 	return limitedServer(ctx, l, handler, limiter), nil
 }
 
-func listen(ctx context.Context, address string) (net.Listener, error) {
-	listenConfig := net.ListenConfig{Control: limitReceiveBuffer}
-	l, err := listenConfig.Listen(ctx, "tcp", address)
-	return l, errors.Wrapf(err, "listen on %s", address)
-}
-
-// limitedServer returns a server with the limits for clients. They take the place of the time and size limits of net/http, which cannot
-// follow the configuration.
+// limitedServer returns a server with the limits for clients.
 func limitedServer(ctx context.Context, l net.Listener, handler http.Handler, limiter *connlimit.Limiter) httpServer {
 	go limiter.Run(ctx)
-	return httpServer{listener: limiter.Listen(l), server: &http.Server{
-		Handler:     limiter.Handler(handler),
-		ConnContext: limiter.ConnContext,
-		ConnState:   limiter.ConnState,
-	}}
+	return httpServer{listener: limiter.Listen(l), server: limiter.Server(handler)}
 }
 
 // drain announces that this VM is leaving, accepts requests until callers use other VMs, and then waits for the running ones.
--- a/pkg/edge/edge_test.go
+++ b/pkg/edge/edge_test.go
@@ -21,7 +21,6 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/azuretiller/azuretiller"
-	"github.com/azuretiller/azuretiller/pkg/bytebudget"
 	"github.com/azuretiller/azuretiller/pkg/common"
 	"github.com/azuretiller/azuretiller/pkg/datagram"
 	"github.com/azuretiller/azuretiller/pkg/gateway"
@@ -303,7 +302,7 @@
 		e.enqueue(e.urgent, func() {})
 	}
 	ctx, stop := context.WithCancel(t.Context())
-	callers, err := newHTTPServer(ctx, "127.0.0.1:0", e.gateway, e.newLimiter(bytebudget.New(0), 1))
+	callers, err := newHTTPServer(ctx, "127.0.0.1:0", e.gateway, e.newClientLimits().OtherLimiter())
 	require.NoError(t, err)
 	var running sync.WaitGroup
 	running.Go(func() { e.drain(ctx, callers) })
--- a/pkg/mesh/mesh.go
+++ b/pkg/mesh/mesh.go
@@ -14,6 +14,7 @@
 	"github.com/azuretiller/azuretiller"
 	"github.com/azuretiller/azuretiller/pkg/bytecount"
 	"github.com/azuretiller/azuretiller/pkg/common"
+	"github.com/azuretiller/azuretiller/pkg/connlimit"
 	"github.com/azuretiller/azuretiller/pkg/forward"
 	"github.com/azuretiller/azuretiller/pkg/handshake"
 	"github.com/azuretiller/azuretiller/pkg/peerpb"
@@ -27,8 +28,8 @@
 	writeTimeout        = 5 * time.Second
 	keepAliveInterval   = 10 * time.Second
 	// acceptPause is the time after a failure to accept a connection.
-	acceptPause = 100 * time.Millisecond
-	streamWindowBytes   = 1 << 20
+	acceptPause       = 100 * time.Millisecond
+	streamWindowBytes = 1 << 20
 	// maxFailedCalls is the number of calls in a row without an answer after which a new connection is opened.
 	maxFailedCalls = 3
 )
@@ -66,7 +67,7 @@
 	return &Mesh{common: c, handshake: h, handler: handler, traffic: bytecount.New(), conns: map[string]*peerConn{}}
 }
 
-// Serve accepts connections until the context is done.
+// Serve accepts connections until the context is done. Connections of a limiter are kept once the handshake has succeeded.
 func (m *Mesh) Serve(ctx context.Context, listener net.Listener) error {
 	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
 	defer stop()
@@ -84,17 +85,19 @@
 			timer.Sleep(ctx, acceptPause)
 			continue
 		}
-		go m.serveConn(ctx, m.traffic.Wrap(conn))
+		go m.serveConn(ctx, conn)
 	}
 }
 
-func (m *Mesh) serveConn(ctx context.Context, conn net.Conn) {
+func (m *Mesh) serveConn(ctx context.Context, accepted net.Conn) {
+	conn := m.traffic.Wrap(accepted)
 	from, err := m.handshake.Accept(conn)
 	if err != nil {
 		m.common.Log.WithField("remote", conn.RemoteAddr()).WithField("error", err).Warn("peer refused")
 		_ = conn.Close()
 		return
 	}
+	connlimit.Keep(accepted)
 	session, err := yamux.Server(conn, sessionConfig())
 	if err != nil {
 		_ = conn.Close()
--- a/pkg/settings/load.go
+++ b/pkg/settings/load.go
@@ -21,6 +21,12 @@
 	// minHeaderBytes and maxHeaderBytes are the bounds of the "headers" setting.
 	minHeaderBytes = 4 << 10
 	maxHeaderBytes = 1 << 20
+	// minMemory and maxMemory are the bounds of the "memory" setting in MiB. The program itself takes about 25.
+	minMemory = 64
+	maxMemory = 1 << 20
+	// minDescriptors and maxDescriptors are the bounds of the "files" setting.
+	minDescriptors = 300
+	maxDescriptors = 1 << 20
 )
 
 // loader collects all problems of a file instead of stopping at the first one.
@@ -89,7 +95,9 @@
 		"token":    {true, l.secretFile(func(v []byte) { s.OperatorToken = string(v) })},
 		"seeds":    {false, l.addresses(func(v []string) { s.Seeds = v })},
 		"drain":    {false, l.drainDuration(func(v time.Duration) { s.DrainDuration = v })},
-		"headers":  {false, l.headerBytes(func(v int) { s.MaxHeaderBytes = v })},
+		"headers":  {false, l.number("bytes", minHeaderBytes, maxHeaderBytes, func(v int) { s.MaxHeaderBytes = v })},
+		"memory":   {false, l.number("MiB", minMemory, maxMemory, func(v int) { s.MemoryBytes = int64(v) << 20 })},
+		"files":    {false, l.number("descriptors", minDescriptors, maxDescriptors, func(v int) { s.Descriptors = v })},
 		"platform": {true, func(field string, v hujson.Value) {
 			l.object(field, v, map[string]fieldReader{
 				"url":   {true, l.url(func(v string) { s.Platform.URL = v })},
@@ -199,12 +207,13 @@
 	}
 }
 
-func (l *loader) headerBytes(set func(int)) func(string, hujson.Value) {
+// number reads a number of the given unit.
+func (l *loader) number(unit string, smallest, largest int, set func(int)) func(string, hujson.Value) {
 	return func(field string, v hujson.Value) {
 		literal, _ := v.Value.(hujson.Literal)
 		n, err := strconv.Atoi(string(literal))
-		if err != nil || n < minHeaderBytes || n > maxHeaderBytes {
-			l.addProblem(l.line(v), field, "must be a number of bytes from "+strconv.Itoa(minHeaderBytes)+" to "+strconv.Itoa(maxHeaderBytes))
+		if err != nil || n < smallest || n > largest {
+			l.addProblem(l.line(v), field, "must be a number of "+unit+" from "+strconv.Itoa(smallest)+" to "+strconv.Itoa(largest))
 			return
 		}
 		set(n)
--- a/pkg/settings/load_test.go
+++ b/pkg/settings/load_test.go
@@ -22,7 +22,7 @@
   "secret": "secret",
   "token": "secret",
   "platform": {"url": "http://127.0.0.1:9000", "token": "secret"},
-  "headers": 8192,
+  "headers": 8192, "memory": 256, "files": 4096,
   "drain": "3s", // shorter than the default
 }`
 
@@ -47,6 +47,8 @@
 	require.Empty(t, problems)
 	require.Equal(t, 3*time.Second, s.DrainDuration)
 	require.Equal(t, 8192, s.MaxHeaderBytes)
+	require.Equal(t, int64(256<<20), s.MemoryBytes)
+	require.Equal(t, 4096, s.Descriptors)
 	require.Equal(t, "0123456789abcdef", s.OperatorToken)
 	require.Equal(t, "info", s.Log.Level)
 }
@@ -67,6 +69,9 @@
 		{"negative duration", `"3s"`, `"-3s"`, ":12: drain: must be a duration from 0s to 10m0s"},
 		{"header limit too small", `8192`, `100`, ":11: headers: must be a number of bytes from 4096 to 1048576"},
 		{"header limit of wrong type", `8192`, `"8192"`, ":11: headers: must be a number of bytes from 4096 to 1048576"},
+		{"memory smaller than the program", `256`, `10`, ":11: memory: must be a number of MiB from 64 to 1048576"},
+		{"too few descriptors", `4096`, `0`, ":11: files: must be a number of descriptors from 300 to 1048576"},
+		{"fraction of a descriptor", `4096`, `4096.5`, ":11: files: must be a number of descriptors from 300 to 1048576"},
 		{"invalid JSON", `"vm": "a1",`, `"vm" "a1",`, ":3: file: "},
 	}
 	for _, tc := range tests {
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -25,6 +25,10 @@
 	DrainDuration time.Duration
 	// MaxHeaderBytes is the limit on the size of a request's headers, in bytes.
 	MaxHeaderBytes int
+	// MemoryBytes is the memory of the VM, and Descriptors is how many of them the process may open, for the limits for clients. 0 stands for
+	// the defaults of package clientlimit.
+	MemoryBytes int64
+	Descriptors int
 }
 
 // Platform holds the base URL of the platform's log and VM list, and the token for them.
--- a/pkg/vmprocess/process.go
+++ b/pkg/vmprocess/process.go
@@ -1,13 +1,16 @@
 package vmprocess
 
 import (
+	"cmp"
 	"context"
 	"net"
+	"syscall"
 	"time"
 
 	"github.com/apex/log"
 	"github.com/cockroachdb/errors"
 
+	"github.com/azuretiller/azuretiller/pkg/clientlimit"
 	"github.com/azuretiller/azuretiller/pkg/common"
 	"github.com/azuretiller/azuretiller/pkg/metrics"
 	"github.com/azuretiller/azuretiller/pkg/operator"
@@ -31,16 +34,22 @@
 func New(ctx context.Context, s settings.Settings, logger log.Interface) (*Process, error) {
 	var l vmruntime.Listeners
 	var err error
-	var config net.ListenConfig
 	for _, socket := range []struct {
 		listener *net.Listener
 		address  string
-	}{{&l.Caller, s.VM.CallerAddress}, {&l.Peer, s.VM.PeerAddress}, {&l.Operator, s.VM.OperatorAddress}} {
-		*socket.listener, err = config.Listen(ctx, "tcp", socket.address)
+	}{{&l.Caller, s.VM.CallerAddress}, {&l.Operator, s.VM.OperatorAddress}} {
+		*socket.listener, err = clientlimit.Listen(ctx, socket.address)
 		if err != nil {
-			return nil, errors.Wrap(err, "open socket")
+			return nil, err
 		}
 	}
+	// Other VMs send more than clients, so the kernel chooses the size of their receive buffers.
+	var config net.ListenConfig
+	l.Peer, err = config.Listen(ctx, "tcp", s.VM.PeerAddress)
+	if err != nil {
+		return nil, errors.Wrap(err, "open socket")
+	}
+	s.Descriptors = availableDescriptors(s.Descriptors, logger)
 	m := metrics.New(metricsInterval)
 	c := &common.Common{Log: logger, Clock: systemclock.New(), Metrics: m.Scope}
 	rt := vmruntime.New(c, s, platformclient.New(s.Platform.URL, s.Platform.Token))
@@ -52,6 +61,17 @@
 	}, nil
 }
 
+// availableDescriptors returns the number of descriptors that the settings and the kernel allow.
+func availableDescriptors(wanted int, logger log.Interface) int {
+	wanted = cmp.Or(wanted, clientlimit.DefaultDescriptors)
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil || uint64(wanted) <= limit.Cur {
+		return wanted
+	}
+	logger.WithField("wanted", wanted).WithField("allowed", limit.Cur).Warn("fewer descriptors allowed than wanted")
+	return int(limit.Cur)
+}
+
 // Run serves requests until the context ends, and returns after the VM has drained.
 func (p *Process) Run(ctx context.Context) error {
 	defer func() { _ = p.metrics.Close() }()
--- a/pkg/vmruntime/runtime.go
+++ b/pkg/vmruntime/runtime.go
@@ -12,7 +12,9 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/azuretiller/azuretiller"
+	"github.com/azuretiller/azuretiller/pkg/clientlimit"
 	"github.com/azuretiller/azuretiller/pkg/common"
+	"github.com/azuretiller/azuretiller/pkg/connlimit"
 	"github.com/azuretiller/azuretiller/pkg/control"
 	"github.com/azuretiller/azuretiller/pkg/dispatch"
 	"github.com/azuretiller/azuretiller/pkg/handshake"
@@ -126,11 +128,17 @@
 	rt.ctx = runCtx
 	rt.stop = stop
 	group, runCtx := errgroup.WithContext(runCtx)
-	callerServer := rt.newServer(rt.ingress)
-	operatorServer := rt.newServer(operatorHandler)
-	group.Go(func() error { return rt.mesh.Serve(runCtx, l.Peer) })
-	group.Go(func() error { return httpserve.Run(callerServer, l.Caller) })
-	group.Go(func() error { return httpserve.Run(operatorServer, l.Operator) })
+	limits := clientlimit.New(clientlimit.Params{
+		Common: rt.common, Memory: rt.settings.MemoryBytes, Descriptors: rt.settings.Descriptors, Limits: rt.clientLimits,
+	})
+	callers, operators, vms := limits.CallerLimiter(), limits.OtherLimiter(), limits.OtherLimiter()
+	callerServer, operatorServer := callers.Server(rt.ingress), operators.Server(operatorHandler)
+	for _, limiter := range []*connlimit.Limiter{callers, operators} {
+		group.Go(func() error { limiter.Run(runCtx); return nil })
+	}
+	group.Go(func() error { return rt.mesh.Serve(runCtx, vms.ListenPlain(l.Peer)) })
+	group.Go(func() error { return httpserve.Run(callerServer, callers.Listen(l.Caller)) })
+	group.Go(func() error { return httpserve.Run(operatorServer, operators.Listen(l.Operator)) })
 	group.Go(func() error { rt.timer.Run(runCtx); return nil })
 	group.Go(func() error { rt.controlLoop(runCtx); return nil })
 	group.Go(func() error { rt.runEvery(runCtx, poolTickInterval, rt.ownedPools.Tick); return nil })
@@ -151,14 +159,9 @@
 	return group.Wait()
 }
 
-func (rt *Runtime) newServer(handler http.Handler) *http.Server {
-	return &http.Server{
-		Handler:           handler,
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    rt.settings.MaxHeaderBytes,
-		ErrorLog:          nil,
-	}
+// clientLimits returns the limits of a connection of a caller or an operator.
+func (rt *Runtime) clientLimits() connlimit.Limits {
+	return connlimit.Limits{HeadBytes: rt.settings.MaxHeaderBytes, HeadTimeout: headerTimeout, IdleTimeout: idleTimeout}
 }
 
 func (rt *Runtime) runEvery(ctx context.Context, interval time.Duration, work func()) {
