Limit the clients of the metrics listener

Cause: the program served the metrics with a server of its own, with net/http's limits (heads of 1 MB, connections without a limit in number and, once a request was served, in time).

Change: edge.Edge serves the metrics like its other listeners, with the same limiter.

--- a/cmd/azuretiller/pkg/app/edge.go
+++ b/cmd/azuretiller/pkg/app/edge.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"net"
-	"net/http"
 	"os"
 	"os/signal"
 	"strconv"
@@ -75,39 +74,24 @@
 	}
 	m := metrics.New(metricsInterval)
 	defer func() { _ = m.Close() }()
+	c := &common.Common{Log: logger, Clock: systemclock.New(), Metrics: m.Scope}
+	store := platform.NewStore(s.StoreAddress, func(call string, failed bool) {
+		m.Scope.Tagged(map[string]string{"call": call, "failed": strconv.FormatBool(failed)}).Counter("store_calls").Inc(1)
+	})
+	logger.WithField("vm", s.VM).WithField("zone", s.Zone).WithField("callers", s.CallerAddress).Info("starting")
+	e := edge.New(c, s, platform.NewRegistry(store))
 	if metricsPort > 0 {
 		host, _, err := net.SplitHostPort(s.CallerAddress)
 		if err != nil {
 			return errors.Wrap(err, "parse the caller address")
 		}
-		if err := serveMetrics(backgroundCtx, net.JoinHostPort(host, strconv.Itoa(metricsPort)), m); err != nil {
-			return err
-		}
+		e.ServeMetrics(net.JoinHostPort(host, strconv.Itoa(metricsPort)), m.Handler)
 	}
-	c := &common.Common{Log: logger, Clock: systemclock.New(), Metrics: m.Scope}
-	store := platform.NewStore(s.StoreAddress, func(call string, failed bool) {
-		m.Scope.Tagged(map[string]string{"call": call, "failed": strconv.FormatBool(failed)}).Counter("store_calls").Inc(1)
-	})
-	logger.WithField("vm", s.VM).WithField("zone", s.Zone).WithField("callers", s.CallerAddress).Info("starting")
-	err = edge.New(c, s, platform.NewRegistry(store)).Run(ctx, watchSettings(backgroundCtx, c, file))
+	err = e.Run(ctx, watchSettings(backgroundCtx, c, file))
 	logger.WithField("vm", s.VM).Info("stopped")
 	return err
 }
 
-func serveMetrics(ctx context.Context, address string, m *metrics.Metrics) error {
-	var listenConfig net.ListenConfig
-	l, err := listenConfig.Listen(ctx, "tcp", address)
-	if err != nil {
-		return errors.Wrap(err, "listen on the metrics address")
-	}
-	mux := http.NewServeMux()
-	mux.Handle("/metrics", m.Handler)
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
-	context.AfterFunc(ctx, func() { _ = server.Close() })
-	go func() { _ = server.Serve(l) }()
-	return nil
-}
-
 // watchSettings sends the settings on the returned channel after each SIGHUP and after each change of the settings file. A file
 // that cannot be read is logged and skipped. Settings are dropped while earlier ones are still waiting to be received.
 func watchSettings(ctx context.Context, c *common.Common, file string) <-chan platform.Settings {
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -77,6 +77,9 @@
 	ttl     atomic.Int64
 	socket  *datagram.Socket
 	gateway *gateway.Gateway
+	// metricsAddress is empty if no metrics are served.
+	metricsAddress string
+	metricsHandler http.Handler
 	// pipeline accepts the connections of callers.
 	pipeline *pipeline.Listener
 	placer   *fallback.Placer
@@ -135,6 +138,13 @@
 	return e
 }
 
+// ServeMetrics makes Run serve the metrics of the process on an address. It must be called before Run.
+func (e *Edge) ServeMetrics(address string, handler http.Handler) {
+	mux := http.NewServeMux()
+	mux.Handle("/metrics", handler)
+	e.metricsAddress, e.metricsHandler = address, mux
+}
+
 // State returns the newest state of the VM.
 func (e *Edge) State() *gateway.State { return e.state.Load() }
 
@@ -206,7 +216,11 @@
 		{e.processSettings.ResolveAddress, resolverRoutes(resolver)},
 		{e.processSettings.ReadinessAddress, readyRoutes(e.State)},
 		{e.processSettings.PeerAddress, e.peerRoutes()},
+		{e.metricsAddress, e.metricsHandler},
 	} {
+		if h.handler == nil {
+			continue
+		}
 		other, err := newHTTPServer(ctx, h.address, h.handler, limits.OtherLimiter())
 		if err != nil {
 			return httpServer{}, nil, err
