Close stalled connections before those of ordinary callers

What callers saw: while a crowd opened connections whose uploads stalled, about half of the ordinary requests ended without an answer, on new and on kept connections.

Cause: the limiter closed a connection without a head first, then an idle one, and one with a late body last. So stalled bodies filled the maximum, and each newcomer closed another newcomer or the kept connection of a caller. The search also went over all connections, under one lock, for each connection beyond the maximum.

Change: the one that has waited longest goes, whatever it waits for; a body counts as waiting from the time that its bytes have earned at 8 KiB/s. Clients that were served under a valid key keep up to half of the connections, those with more served requests longest.

Tests (crowds were fixed before; without clock or speed): TestOrdinaryCallersBesideStalledOnes, 175 connections filled with stalled ones, then an ordinary one and 20 more. Before: "bodies" and "bodies after an answer" failed, the first request of the new connection got no answer; "heads" and "bodies and heads" passed and are guards. After: all pass. Order and shares are in pkg/connlimit/order_test.go.

--- a/pkg/clientlimit/set.go
+++ b/pkg/clientlimit/set.go
@@ -64,15 +64,15 @@
 	return s
 }
 
-// CallerLimiter returns a limiter for the listener for callers.
-func (s *Set) CallerLimiter() *connlimit.Limiter { return s.limiter(s.CallerConns()) }
+// CallerLimiter returns a limiter for the listener for callers, whose handler calls connlimit.MarkServed.
+func (s *Set) CallerLimiter() *connlimit.Limiter { return s.limiter(s.CallerConns(), true) }
 
 // OtherLimiter returns a limiter for another listener.
-func (s *Set) OtherLimiter() *connlimit.Limiter { return s.limiter(s.OtherConns()) }
+func (s *Set) OtherLimiter() *connlimit.Limiter { return s.limiter(s.OtherConns(), false) }
 
-func (s *Set) limiter(maxConns int) *connlimit.Limiter {
+func (s *Set) limiter(maxConns int, marked bool) *connlimit.Limiter {
 	return connlimit.New(connlimit.Params{
-		Now: s.common.Clock.Now, Limits: s.limits, Heads: s.heads, MaxConns: maxConns, Refused: s.refusals.add,
+		Now: s.common.Clock.Now, Limits: s.limits, Heads: s.heads, MaxConns: maxConns, Refused: s.refusals.add, Marked: marked,
 	})
 }
 
--- a/pkg/connlimit/conn.go
+++ b/pkg/connlimit/conn.go
@@ -56,11 +56,13 @@
 	closed bool
 	// refused means that the memory for the start of the next head could not be reserved.
 	refused bool
-	// served means that a request has ended.
-	served bool
-	// since is the start of the phase, or the time of the last read of a body.
-	since time.Time
-	head  headlimit.Counter
+	// served is the number of requests for which the client has been served.
+	served int
+	// evicted means that the connection is closed in favor of another, and unordered that it is not in the order of the limiter.
+	evicted, unordered bool
+	// since is the start of the phase, or the time of the last read of a body. bodySince is the start of the body.
+	since, bodySince time.Time
+	head             headlimit.Counter
 	// reserved is the memory that is taken from Limiter.heads.
 	reserved int64
 	// bodyLength is the length of the body in bytes, or -1 if it is unknown.
@@ -88,10 +90,12 @@
 	}
 	n, err := c.Conn.Read(p)
 	if n > 0 && !c.plain {
-		if refusal := c.count(p[:n]); refusal != "" {
+		refusal := c.count(p[:n])
+		if refusal != "" {
+			c.refuse(refusal)
+		}
+		if refusal != "" || c.isRefused() {
 			// net/http closes the connection without a response of its own after a timeout.
-			_ = c.SetWriteDeadline(time.Now().Add(refuseTimeout))
-			_, _ = io.WriteString(c.Conn, refusal)
 			return 0, os.ErrDeadlineExceeded
 		}
 	}
@@ -99,6 +103,12 @@
 	return n, err
 }
 
+// refuse writes a response without the help of net/http.
+func (c *conn) refuse(response string) {
+	_ = c.SetWriteDeadline(time.Now().Add(refuseTimeout))
+	_, _ = io.WriteString(c.Conn, response)
+}
+
 // Write writes to the connection.
 func (c *conn) Write(p []byte) (int, error) {
 	c.setWriting(c.limiter.now())
@@ -116,13 +126,16 @@
 func (c *conn) isRefused() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.refused
+	return c.refused || c.evicted
 }
 
 // count counts bytes that were read, and returns the response with which the head is refused, if it is.
 func (c *conn) count(p []byte) (refusal string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.evicted {
+		return ""
+	}
 	used := 0
 	switch c.phase {
 	case awaitingHead:
@@ -208,6 +221,7 @@
 
 // beginRequest means that the head has been read; the length is that of the body, or -1.
 func (c *conn) beginRequest(bodyLength int64) {
+	defer c.reorder()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.phase != headRead {
@@ -219,6 +233,7 @@
 	}
 	c.bodyLength = bodyLength
 	c.setPhase(readingBody)
+	c.bodySince = c.since
 	if bodyLength >= 0 && c.rest.bytes >= bodyLength {
 		c.setPhase(responding)
 	}
@@ -236,6 +251,7 @@
 // endRequest means that the response has been sent. What net/http has read beyond the request belongs to the next head; of the lines of such
 // bytes only the largest possible number is known.
 func (c *conn) endRequest() {
+	defer c.reorder()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.release()
@@ -245,7 +261,6 @@
 	}
 	lines := min(c.rest.lines, c.last.lines, int(next))
 	c.head, c.rest, c.last = headlimit.Counter{}, size{}, size{}
-	c.served = true
 	c.setPhase(awaitingHead)
 	if next == 0 {
 		return
@@ -255,13 +270,6 @@
 	c.refused = !c.reserve()
 }
 
-// keep makes a connection one that is not closed in favor of others.
-func (c *conn) keep() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.setPhase(responding)
-}
-
 // isLate reports whether the client has taken too long for a head, without one, or to read a part of a response.
 func (c *conn) isLate(now time.Time, limits Limits) bool {
 	c.mu.Lock()
@@ -283,24 +291,6 @@
 	}
 }
 
-// rank returns how much a connection is needed, and since when it waits for the client.
-func (c *conn) rank() (rank, time.Time) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	switch {
-	case !c.plain && !c.writing.IsZero() && c.limiter.now().Sub(c.writing) > slowWrite:
-		return awaitsClient, c.writing
-	case c.phase == readingBody:
-		return awaitsClient, c.since
-	case c.phase == headRead || c.phase == responding:
-		return needed, c.since
-	case c.served:
-		return awaitsNextHead, c.since
-	default:
-		return awaitsFirstHead, c.since
-	}
-}
-
 // Close closes the connection and releases what it has reserved.
 func (c *conn) Close() error {
 	c.mu.Lock()
@@ -309,7 +299,7 @@
 		c.release()
 	}
 	c.mu.Unlock()
-	c.limiter.remove(c)
+	c.limiter.order.remove(c)
 	return errors.Wrap(c.Conn.Close(), "close connection")
 }
 
--- /dev/null
+++ b/pkg/connlimit/evict.go
@@ -0,0 +1,120 @@
+package connlimit
+
+import (
+	"math/bits"
+	"time"
+)
+
+// rank is how much a connection is needed.
+type rank int
+
+const (
+	awaitsFirstHead rank = iota
+	awaitsNextHead
+	// awaitsClient means that the client sends a body or reads a response.
+	awaitsClient
+	// needed is the rank of connections that are not closed in favor of others.
+	needed
+)
+
+// bodyRate is the number of bytes a second at which a body counts as arriving. A client that sends less counts as waiting since the time at
+// which it would have sent as much at this rate, so that single bytes do not keep a connection.
+const bodyRate = 8 << 10
+
+// rank returns how much a connection is needed, and since when it waits for the client.
+func (c *conn) rank() (rank, time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.rankLocked()
+}
+
+func (c *conn) rankLocked() (rank, time.Time) {
+	switch {
+	case !c.plain && !c.writing.IsZero() && c.limiter.now().Sub(c.writing) > slowWrite:
+		return awaitsClient, c.writing
+	case c.phase == readingBody:
+		earned := c.bodySince.Add(time.Duration(c.rest.bytes) * time.Second / bodyRate)
+		if earned.Before(c.since) {
+			return awaitsClient, earned
+		}
+		return awaitsClient, c.since
+	case c.phase == headRead || c.phase == responding:
+		return needed, c.since
+	case c.served > 0:
+		return awaitsNextHead, c.since
+	default:
+		return awaitsFirstHead, c.since
+	}
+}
+
+// standing tells whether a connection may be closed in favor of another.
+type standing int
+
+const (
+	// evicted means that the connection is closed now.
+	evicted standing = iota
+	// progressed means that the client has sent something meanwhile.
+	progressed
+	// inUse means that the connection is needed. It returns to the order by itself.
+	inUse
+)
+
+// tryEvict evicts a connection that has been waiting since the given time, and otherwise returns since when it does.
+func (c *conn) tryEvict(seen time.Time) (standing, time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r, since := c.rankLocked()
+	switch {
+	case r == needed:
+		c.unordered = true
+		return inUse, since
+	case since.After(seen):
+		return progressed, since
+	default:
+		c.evicted = true
+		return evicted, since
+	}
+}
+
+// reorder returns a connection to the order if it is not needed any more.
+func (c *conn) reorder() {
+	c.mu.Lock()
+	r, _ := c.rankLocked()
+	returns := c.unordered && r != needed
+	if returns {
+		c.unordered = false
+	}
+	c.mu.Unlock()
+	if returns {
+		c.limiter.order.restore(c)
+	}
+}
+
+// levels is the number of levels of connections. Those on which no request has been served have level 0; each doubling of the served requests
+// raises the level. A crowd would have to send as many requests on each connection as ordinary clients do on theirs.
+const levels = 6
+
+// markServed counts a served request.
+func (c *conn) markServed() {
+	before := c.level()
+	c.mu.Lock()
+	c.served++
+	c.mu.Unlock()
+	if c.level() != before {
+		c.limiter.order.promote(c)
+	}
+}
+
+// level returns the level of the connection.
+func (c *conn) level() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return min(bits.Len(uint(c.served)), levels-1)
+}
+
+// keep makes a connection one that is not closed in favor of others.
+func (c *conn) keep() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.setPhase(responding)
+}
--- a/pkg/connlimit/limiter.go
+++ b/pkg/connlimit/limiter.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/azuretiller/azuretiller/pkg/bytebudget"
@@ -14,18 +13,6 @@
 // sweepInterval is the time between two checks for connections that are idle or send a head for too long.
 const sweepInterval = 200 * time.Millisecond
 
-// rank is how much a connection is needed.
-type rank int
-
-const (
-	awaitsFirstHead rank = iota
-	awaitsNextHead
-	// awaitsClient means that the client sends a body or reads a response.
-	awaitsClient
-	// needed is the rank of connections that are not closed in favor of others.
-	needed
-)
-
 // Limits bound what a client may send on a connection, and how long it may take.
 type Limits struct {
 	// HeadBytes is the size of the largest head.
@@ -36,16 +23,15 @@
 
 // Limiter limits the connections of one HTTP server.
 type Limiter struct {
+	*order
 	now    func() time.Time
 	limits func() Limits
 	// heads is the memory of all heads beyond unreservedHead of each connection.
 	heads *bytebudget.Budget
-	max   int
 	// refused is called for each connection that is closed because of a limit.
 	refused func(reason string)
-
-	mu    sync.Mutex
-	conns map[*conn]struct{}
+	// marked means that only MarkServed makes a client a served one.
+	marked bool
 }
 
 // Params are the parts of a Limiter.
@@ -59,11 +45,13 @@
 	MaxConns int
 	// Refused is called with the reason for which a connection is closed.
 	Refused func(reason string)
+	// Marked means that a client counts as served only after MarkServed, and not after any response.
+	Marked bool
 }
 
 // New returns a limiter without connections.
 func New(p Params) *Limiter {
-	return &Limiter{now: p.Now, limits: p.Limits, heads: p.Heads, max: p.MaxConns, refused: p.Refused, conns: map[*conn]struct{}{}}
+	return &Limiter{now: p.Now, limits: p.Limits, heads: p.Heads, refused: p.Refused, marked: p.Marked, order: newOrder(p.MaxConns)}
 }
 
 // Listen returns a listener whose connections are limited.
@@ -109,6 +97,9 @@
 func (l *Limiter) ConnState(nc net.Conn, state http.ConnState) {
 	if c, ok := nc.(*conn); ok && state == http.StateIdle {
 		c.endRequest()
+		if !l.marked {
+			c.markServed()
+		}
 	}
 }
 
@@ -128,6 +119,13 @@
 	})
 }
 
+// MarkServed means that a request was served, so that its client is likely to be an ordinary one. The context is that of the request.
+func MarkServed(ctx context.Context) {
+	if c, ok := ctx.Value(connKey{}).(*conn); ok {
+		c.markServed()
+	}
+}
+
 // Run closes connections whose time is over, until the context ends.
 func (l *Limiter) Run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -137,58 +135,19 @@
 }
 
 func (l *Limiter) sweep() {
-	limits, now := l.limits(), l.now()
-	var late []*conn
-	l.mu.Lock()
-	for c := range l.conns {
-		if c.isLate(now, limits) {
-			late = append(late, c)
-		}
-	}
-	l.mu.Unlock()
-	for _, c := range late {
+	for _, c := range l.late(l.now(), l.limits()) {
 		_ = c.Close()
 	}
 }
 
-// admit adds a connection. At the maximum, it closes the connection that is needed least, and reports false if there is none.
+// admit adds a connection. At the maximum, it closes another one, and reports false if all of them are needed.
 func (l *Limiter) admit(c *conn) bool {
-	l.mu.Lock()
-	var dropped *conn
-	if len(l.conns) >= l.max {
-		if dropped = l.leastNeeded(); dropped == nil {
-			l.mu.Unlock()
-			return false
-		}
-		delete(l.conns, dropped)
-	}
-	l.conns[c] = struct{}{}
-	l.mu.Unlock()
+	dropped, admitted := l.add(c, l.now())
 	if dropped != nil {
 		l.refused("connections")
 		_ = dropped.Close()
 	}
-	return true
-}
-
-// leastNeeded returns the connection to close first: one that awaits its first head, then one that awaits another head, then one that awaits
-// a body or a client that reads; among these, the one that has been waiting longest. It returns nil if all connections await a response.
-func (l *Limiter) leastNeeded() *conn {
-	var found *conn
-	lowest, earliest := needed, time.Time{}
-	for c := range l.conns {
-		r, since := c.rank()
-		if r < lowest || r == lowest && r != needed && since.Before(earliest) {
-			found, lowest, earliest = c, r, since
-		}
-	}
-	return found
-}
-
-func (l *Limiter) remove(c *conn) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	delete(l.conns, c)
+	return admitted
 }
 
 // listener accepts connections of a limiter.
--- /dev/null
+++ b/pkg/connlimit/order.go
@@ -0,0 +1,164 @@
+package connlimit
+
+import (
+	"sync"
+	"time"
+
+	"github.com/azuretiller/azuretiller/pkg/timeheap"
+)
+
+// servedShare is the part of the connections, as a divisor, that clients may keep that have been served. New clients compete for the others.
+const servedShare = 2
+
+// order holds the open connections, and those that wait for their client in the order in which they are closed in favor of others. Their
+// times may be too early, since a connection that progresses is moved only when its turn comes.
+type order struct {
+	max int
+
+	mu    sync.Mutex
+	conns map[*conn]struct{}
+	// waiting holds the connections that wait for their client, by level.
+	waiting    [levels]*timeheap.Heap[*conn]
+	searchedAt time.Time
+}
+
+func newOrder(maxConns int) *order {
+	o := &order{max: maxConns, conns: map[*conn]struct{}{}}
+	for i := range o.waiting {
+		o.waiting[i] = timeheap.New[*conn]()
+	}
+	return o
+}
+
+// add adds a connection. At the maximum it also returns the one to close instead, or reports false if all of them are needed.
+func (o *order) add(c *conn, now time.Time) (dropped *conn, admitted bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if len(o.conns) >= o.max {
+		if dropped = o.evict(now); dropped == nil {
+			return nil, false
+		}
+		delete(o.conns, dropped)
+	}
+	o.conns[c] = struct{}{}
+	o.place(c, c.since)
+	return dropped, true
+}
+
+// evict evicts a connection, or returns nil if all of them are needed.
+func (o *order) evict(now time.Time) *conn {
+	if c := o.evictFirst(); c != nil {
+		return c
+	}
+	if now.Sub(o.searchedAt) < sweepInterval {
+		return nil
+	}
+	// A write only becomes a slow one as time passes.
+	o.searchedAt = now
+	for c := range o.conns {
+		if r, since := c.rank(); r != needed {
+			o.place(c, since)
+		}
+	}
+	return o.evictFirst()
+}
+
+func (o *order) evictFirst() *conn {
+	for {
+		c, seen, ok := o.first()
+		if !ok {
+			return nil
+		}
+		switch now, since := c.tryEvict(seen); now {
+		case progressed:
+			o.place(c, since)
+		case inUse:
+			o.take(c)
+		case evicted:
+			o.take(c)
+			return c
+		}
+	}
+}
+
+// first returns the connection that is closed next if it still waits: the one of level 0 that has waited longest, or the one of the lowest other
+// level if it has waited even longer and the served clients have more than their share.
+func (o *order) first() (c *conn, since time.Time, ok bool) {
+	fresh, freshSince, hasFresh := o.waiting[0].Earliest()
+	served, servedSince, hasServed := o.firstServed()
+	if hasServed && (!hasFresh || o.countServed() > o.max/servedShare && servedSince.Before(freshSince)) {
+		return served, servedSince, true
+	}
+	return fresh, freshSince, hasFresh
+}
+
+// firstServed returns the connection that has waited longest of those on the lowest level above 0.
+func (o *order) firstServed() (c *conn, since time.Time, ok bool) {
+	for _, heap := range o.waiting[1:] {
+		if c, since, ok = heap.Earliest(); ok {
+			return c, since, true
+		}
+	}
+	return nil, time.Time{}, false
+}
+
+func (o *order) countServed() (count int) {
+	for _, heap := range o.waiting[1:] {
+		count += heap.Len()
+	}
+	return count
+}
+
+// place puts a connection that waits since the given time where it belongs.
+func (o *order) place(c *conn, since time.Time) {
+	o.take(c)
+	o.waiting[c.level()].Set(c, since)
+}
+
+// take takes a connection out of the order, and reports whether it was there.
+func (o *order) take(c *conn) (found bool) {
+	for _, heap := range o.waiting {
+		found = heap.Remove(c) || found
+	}
+	return found
+}
+
+// restore returns a connection that was needed to the order.
+func (o *order) restore(c *conn) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if _, ok := o.conns[c]; ok {
+		_, since := c.rank()
+		o.place(c, since)
+	}
+}
+
+// promote moves a connection whose level has changed.
+func (o *order) promote(c *conn) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.take(c) {
+		_, since := c.rank()
+		o.place(c, since)
+	}
+}
+
+// remove removes a connection that is closed.
+func (o *order) remove(c *conn) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.conns, c)
+	o.take(c)
+}
+
+// late returns the connections whose time is over.
+func (o *order) late(now time.Time, limits Limits) (late []*conn) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for c := range o.conns {
+		if c.isLate(now, limits) {
+			late = append(late, c)
+		}
+	}
+	return late
+}
--- a/pkg/gateway/response.go
+++ b/pkg/gateway/response.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/azuretiller/azuretiller"
+	"github.com/azuretiller/azuretiller/pkg/connlimit"
 	"github.com/azuretiller/azuretiller/pkg/headers"
 	"github.com/azuretiller/azuretiller/pkg/message"
 	"github.com/azuretiller/azuretiller/pkg/retryafter"
@@ -19,6 +20,7 @@
 // deliver sends a successful response to the caller and reports the result to the leader.
 func (c *call) deliver(a attempt) {
 	c.code = azuretiller.CodeOK
+	connlimit.MarkServed(c.request.Context())
 	if a.response.RemainingBody == nil {
 		// The server has finished, while the caller may still read for long.
 		c.reportResult(a)
--- a/pkg/ingress/forward.go
+++ b/pkg/ingress/forward.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/azuretiller/azuretiller"
+	"github.com/azuretiller/azuretiller/pkg/connlimit"
 	"github.com/azuretiller/azuretiller/pkg/forward"
 	"github.com/azuretiller/azuretiller/pkg/headers"
 	"github.com/azuretiller/azuretiller/pkg/idempotency"
@@ -222,6 +223,7 @@
 	if response.Code != azuretiller.CodeOK {
 		return idempotency.Response{}, response
 	}
+	connlimit.MarkServed(ctx)
 	kept, storable := c.streamBody(response, stream)
 	return idempotency.Response{Code: response.Code, Status: response.Status, Headers: response.Headers, Body: kept, Replayable: storable}, response
 }
--- /dev/null
+++ b/pkg/timeheap/doc.go
@@ -0,0 +1,2 @@
+// Package timeheap keeps items in the order of a time that may change.
+package timeheap
