Refuse uploads whose connection is closed for another

What callers saw: at the maximum of connections, an upload that was arriving was cut without an answer, so that its caller could not know whether the request had run, although no backend server had got any of it.

Cause: the limiter closed the connection at once. The gateway's refusal of the body, which it then wrote, had no connection any more.

Change: the reads of such a connection fail, and its handler refuses the request with the new code 3015 (503, not run, Retry-After); an incomplete head gets a 503 from the limiter. An eighth of the maximum may stay for this, each for a second; others are cut as before, so that descriptors stay limited.

Test: TestClosedUploadIsRefused.

--- a/cmd/standin/pkg/clientlimits/callers_test.go
+++ b/cmd/standin/pkg/clientlimits/callers_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/azuretiller/azuretiller/cmd/standin/pkg/loopback"
@@ -170,3 +171,16 @@
 		})
 	}
 }
+
+// TestClosedUploadIsRefused guards against uploads that are cut without a response when their connection is closed for another. No backend
+// server has got any of them, so that their callers may be told to return.
+func TestClosedUploadIsRefused(t *testing.T) {
+	p := startProcess(t, fewFds, servers)
+	c := &crowd{stall: stalls()[1], statuses: map[int]int{}}
+	c.fill(t)
+	p.check(t)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	assert.Zero(t, c.statuses[0], "connections closed without a response")
+	assert.Positive(t, c.statuses[http.StatusServiceUnavailable], "refusals")
+}
--- a/code.go
+++ b/code.go
@@ -30,6 +30,7 @@
 	CodePoolMoved          Code = 3012
 	CodeStopping           Code = 3013
 	CodeServersPaused      Code = 3014
+	CodeTooManyConnections Code = 3015
 	CodeServerFailed       Code = 4000
 	CodeServerTimeout      Code = 4001
 	CodeTruncated          Code = 4002
--- a/code_info.go
+++ b/code_info.go
@@ -47,6 +47,7 @@
 		{CodePoolMoved, "pool-moved", 503, NotRun, "Another VM decides for the pool now."},
 		{CodeStopping, "stopping", 503, NotRun, "This VM is about to stop; use another VM."},
 		{CodeServersPaused, "servers-paused", 503, NotRun, "All backend servers of the service leave, or asked this VM for a pause."},
+		{CodeTooManyConnections, "too-many-connections", 503, NotRun, "This VM had too many connections while the caller sent the body; no backend server got any of it."},
 		{CodeServerFailed, "server-failed", 502, MayHaveRun, "The backend server broke off before it answered."},
 		{CodeServerTimeout, "server-timeout", 504, MayHaveRun, "The backend server did not answer within the deadline."},
 		{CodeTruncated, "truncated", 502, MayHaveRun, "The answer broke off; what was delivered is incomplete."},
--- a/pkg/connlimit/conn.go
+++ b/pkg/connlimit/conn.go
@@ -28,8 +28,9 @@
 	refuseTimeout = 200 * time.Millisecond
 
 	tooLarge = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
-	// noMemory may promise that the request does not run, since its head never reaches net/http.
-	noMemory = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+	// unavailable may promise that the request does not run, since its head never reaches net/http.
+	// The same holds for a head that is not complete.
+	unavailable = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 )
 
 // phase is what happens on a connection.
@@ -164,7 +165,7 @@
 	}
 	if !c.reserve() {
 		c.limiter.refused("memory of heads")
-		return noMemory
+		return unavailable
 	}
 	return ""
 }
--- a/pkg/connlimit/evict.go
+++ b/pkg/connlimit/evict.go
@@ -76,6 +76,51 @@
 	}
 }
 
+// dismiss ends an evicted connection. If the limiter may wait for it, a request whose body has not arrived is refused by its handler, and one
+// whose head has not, here.
+func (c *conn) dismiss(mayWait bool) {
+	c.mu.Lock()
+	phase := c.phase
+	c.mu.Unlock()
+	switch {
+	case mayWait && phase == readingBody:
+		_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+	case mayWait && phase == readingHead:
+		go func() {
+			c.refuse(unavailable)
+			_ = c.Close()
+		}()
+	default:
+		_ = c.Close()
+	}
+}
+
+// SetReadDeadline limits the time of reads, unless the connection is evicted.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.evicted {
+		return nil
+	}
+	// The error is not wrapped, since net/http examines it.
+	return c.Conn.SetReadDeadline(t)
+}
+
+// SetDeadline limits the time of reads and writes.
+func (c *conn) SetDeadline(t time.Time) error {
+	if err := c.SetReadDeadline(t); err != nil {
+		return err
+	}
+	return c.SetWriteDeadline(t)
+}
+
+// isEvicted reports whether the connection is closed in favor of another.
+func (c *conn) isEvicted() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.evicted
+}
+
 // reorder returns a connection to the order if it is not needed any more.
 func (c *conn) reorder() {
 	c.mu.Lock()
--- a/pkg/connlimit/limiter.go
+++ b/pkg/connlimit/limiter.go
@@ -126,6 +126,13 @@
 	}
 }
 
+// IsEvicted reports whether the connection of a request is closed in favor of another, so that nothing more of the request can be read. A
+// response can still be sent.
+func IsEvicted(ctx context.Context) bool {
+	c, ok := ctx.Value(connKey{}).(*conn)
+	return ok && c.isEvicted()
+}
+
 // Run closes connections whose time is over, until the context ends.
 func (l *Limiter) Run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -142,10 +149,10 @@
 
 // admit adds a connection. At the maximum, it closes another one, and reports false if all of them are needed.
 func (l *Limiter) admit(c *conn) bool {
-	dropped, admitted := l.add(c, l.now())
+	dropped, mayWait, admitted := l.add(c, l.now())
 	if dropped != nil {
 		l.refused("connections")
-		_ = dropped.Close()
+		dropped.dismiss(mayWait)
 	}
 	return admitted
 }
--- a/pkg/connlimit/order.go
+++ b/pkg/connlimit/order.go
@@ -10,6 +10,13 @@
 // servedShare is the part of the connections, as a divisor, that clients may keep that have been served. New clients compete for the others.
 const servedShare = 2
 
+const (
+	// dismissedShare is the part of the connections, as a divisor, that may be open beyond the maximum until their clients are refused.
+	dismissedShare = 8
+	// dismissTimeout is how long such a connection stays at most.
+	dismissTimeout = time.Second
+)
+
 // order holds the open connections, and those that wait for their client in the order in which they are closed in favor of others. Their
 // times may be too early, since a connection that progresses is moved only when its turn comes.
 type order struct {
@@ -20,29 +27,35 @@
 	// waiting holds the connections that wait for their client, by level.
 	waiting    [levels]*timeheap.Heap[*conn]
 	searchedAt time.Time
+	// dismissed holds the evicted connections that are still open, and since when they are evicted.
+	dismissed map[*conn]time.Time
 }
 
 func newOrder(maxConns int) *order {
-	o := &order{max: maxConns, conns: map[*conn]struct{}{}}
+	o := &order{max: maxConns, conns: map[*conn]struct{}{}, dismissed: map[*conn]time.Time{}}
 	for i := range o.waiting {
 		o.waiting[i] = timeheap.New[*conn]()
 	}
 	return o
 }
 
-// add adds a connection. At the maximum it also returns the one to close instead, or reports false if all of them are needed.
-func (o *order) add(c *conn, now time.Time) (dropped *conn, admitted bool) {
+// add adds a connection. At the maximum it also returns the one to close instead, and whether that one may stay until its client is refused; it
+// reports false if all connections are needed.
+func (o *order) add(c *conn, now time.Time) (dropped *conn, mayWait, admitted bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if len(o.conns) >= o.max {
 		if dropped = o.evict(now); dropped == nil {
-			return nil, false
+			return nil, false, false
 		}
 		delete(o.conns, dropped)
+		if mayWait = len(o.dismissed) < o.max/dismissedShare; mayWait {
+			o.dismissed[dropped] = now
+		}
 	}
 	o.conns[c] = struct{}{}
 	o.place(c, c.since)
-	return dropped, true
+	return dropped, mayWait, true
 }
 
 // evict evicts a connection, or returns nil if all of them are needed.
@@ -148,6 +161,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	delete(o.conns, c)
+	delete(o.dismissed, c)
 	o.take(c)
 }
 
@@ -160,5 +174,10 @@
 			late = append(late, c)
 		}
 	}
+	for c, since := range o.dismissed {
+		if now.Sub(since) > dismissTimeout {
+			late = append(late, c)
+		}
+	}
 	return late
 }
--- a/pkg/gateway/body.go
+++ b/pkg/gateway/body.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/azuretiller/azuretiller"
+	"github.com/azuretiller/azuretiller/pkg/connlimit"
 	"github.com/azuretiller/azuretiller/pkg/replay"
 )
 
@@ -132,6 +133,8 @@
 		return azuretiller.CodeBodyTooLarge
 	case c.gateway.stopsBefore(deadline):
 		return azuretiller.CodeStopping
+	case err != nil && connlimit.IsEvicted(c.request.Context()):
+		return azuretiller.CodeTooManyConnections
 	case b.isOverdue():
 		return azuretiller.CodeBodyTimeout
 	case err != nil:
--- a/pkg/ingress/forward.go
+++ b/pkg/ingress/forward.go
@@ -40,8 +40,7 @@
 	c.requestID = azuretiller.RequestID(c.request.Header.Get(headers.IdempotencyKey))
 	fingerprint, err := c.fingerprint(body)
 	if errors.Is(err, os.ErrDeadlineExceeded) {
-		c.writer.Header().Set("Connection", "close")
-		c.refuse(azuretiller.CodeBodyTimeout, 0, "")
+		c.refuseLateBody(ctx)
 		return
 	}
 	if idempotent || c.requestID == "" {
@@ -51,6 +50,16 @@
 	c.serveOnce(ctx, body, c.requestHead(fingerprint, false))
 }
 
+// refuseLateBody refuses a request that no other VM and no backend server has got, since its body has not arrived.
+func (c *call) refuseLateBody(ctx context.Context) {
+	c.writer.Header().Set("Connection", "close")
+	if connlimit.IsEvicted(ctx) {
+		c.refuse(azuretiller.CodeTooManyConnections, time.Second, "")
+		return
+	}
+	c.refuse(azuretiller.CodeBodyTimeout, 0, "")
+}
+
 // limitBody makes reads of the request body fail if the body is too large or arrives too slowly.
 func (c *call) limitBody() {
 	c.request.Body = http.MaxBytesReader(c.writer, c.request.Body, c.route.MaxBodyBytes)
