Test reads, uploads and unread responses of crowds against `serve`

What these tests show: running requests with heads of many lines, bodies that lack their last byte and responses of 64 MB that nobody reads stay within 136 MiB and 2,870 descriptors, and a single legal head is served in calm.

--- a/cmd/standin/pkg/clientlimits/serve_process_test.go
+++ b/cmd/standin/pkg/clientlimits/serve_process_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -29,6 +30,12 @@
 	// operatorPort is the port of the operators' listener of "azuretiller serve".
 	operatorPort     = 18050
 	keptRecords      = 1000
+	// serveSlots is the number of requests that the backend server runs at the same time.
+	serveSlots = 1000
+	// slowPath is a path whose requests run until the test ends, and largePath one whose responses no buffer of the kernel holds.
+	slowPath      = "/reads/slow"
+	largePath     = "/reads/large"
+	largeResponse = 64 << 20
 	appendsPerSecond = 300
 )
 
@@ -66,8 +73,18 @@
 // configure writes the operators' settings: routes to a backend server, and a team.
 func (p serveProcess) configure(t *testing.T) {
 	t.Helper()
-	server := httptest.NewServer(http.HandlerFunc(serveBackend))
+	stopped := make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == slowPath {
+			select {
+			case <-stopped:
+			case <-r.Context().Done():
+			}
+		}
+		serveBackend(w, r)
+	}))
 	t.Cleanup(server.Close)
+	t.Cleanup(func() { close(stopped) })
 	set := func(path, name, value string) operator.Change {
 		return operator.Change{Kind: "set", Path: path, Field: name, Value: value}
 	}
@@ -82,6 +99,7 @@
 		set("/teams/team-a/keys/"+string(azuretiller.HashKey(key)), "label", `"test"`),
 		set("/zones/zone-0", "out", "false"),
 		set(backendServer, "zone", `"zone-0"`),
+		set(backendServer, "slots", strconv.Itoa(serveSlots)),
 	}
 	client := operatorclient.New(address(operatorPort), operatorToken)
 	require.Eventually(t, func() bool {
@@ -98,6 +116,9 @@
 func serveBackend(w http.ResponseWriter, r *http.Request) {
 	_, _ = io.Copy(io.Discard, r.Body)
 	w.Header().Set(headers.RequestID, r.Header.Get(headers.RequestID))
+	if r.URL.Path == largePath {
+		_, _ = w.Write(make([]byte, largeResponse))
+	}
 }
 
 // requireAnswer requires that the process answers an ordinary request of a caller.
--- a/cmd/standin/pkg/clientlimits/serve_test.go
+++ b/cmd/standin/pkg/clientlimits/serve_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -52,6 +53,34 @@
 	p.check(t)
 }
 
+// TestServeLegalReadsOfManyLines guards against the same requests without a body, which run until the client leaves.
+func TestServeLegalReadsOfManyLines(t *testing.T) {
+	p := startServe(t, maxFds)
+	load{address: address(loopback.CallerPort), connections: 600, send: func(conn net.Conn, number int) {
+		_, _ = io.WriteString(conn, formatHead(serveRequest(http.MethodGet, slowPath), number, legalSize)+"\r\n")
+	}}.run(t, p.process)
+	p.check(t)
+}
+
+// TestServeUploadsThatDoNotEnd guards against bodies that lack their last byte.
+func TestServeUploadsThatDoNotEnd(t *testing.T) {
+	p := startServe(t, maxFds)
+	load{address: address(loopback.CallerPort), connections: 600, send: func(conn net.Conn, _ int) {
+		length := fmt.Sprintf("Content-Length: %d\r\n\r\n", uploadSize)
+		_, _ = io.WriteString(conn, serveRequest(http.MethodPost, "/orders/1")+length+strings.Repeat("x", uploadSize-1))
+	}}.run(t, p.process)
+	p.check(t)
+}
+
+// TestServeUnreadResponses guards against responses that their callers do not read.
+func TestServeUnreadResponses(t *testing.T) {
+	p := startServe(t, maxFds)
+	load{address: address(loopback.CallerPort), connections: 600, send: func(conn net.Conn, _ int) {
+		_, _ = io.WriteString(conn, serveRequest(http.MethodGet, largePath)+"\r\n")
+	}}.run(t, p.process)
+	p.check(t)
+}
+
 // TestServeIdleConnections guards against idle connections to each of the listeners that exhaust the descriptors, which ended the process.
 func TestServeIdleConnections(t *testing.T) {
 	for _, c := range []struct {
@@ -88,3 +117,15 @@
 	p.waitUntil(ctx)
 	require.NoError(t, ctx.Err(), "the process ends")
 }
+
+// TestServeSingleLegalHeadIsServed guards against limits that refuse a single request within the limits under calm conditions.
+func TestServeSingleLegalHeadIsServed(t *testing.T) {
+	p := startServe(t, maxFds)
+	for shape := range 4 {
+		conn, reader := dialOrdinary(t)
+		_, err := io.WriteString(conn, formatHead(serveRequest(http.MethodGet, "/reads/1"), shape, legalSize)+"\r\n")
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, readStatus(reader), shape)
+	}
+	p.check(t)
+}
