Keep long request ids out of the log and out of messages

What was found: a caller may choose an id of 15 KB. It was written to each of the request's log lines on its VM and on the leader, so that 17 lines filled the buffer of the log and others were dropped; it was sent to the leader in a datagram for each attempt, and kept there while the request was queued.

Cause: the id was used as it came, although the leader needs it for its log only.

Change: beyond 128 bytes, log lines and messages carry the start of the id. Backend servers and callers get the whole one.

--- a/pkg/gateway/acquire.go
+++ b/pkg/gateway/acquire.go
@@ -140,7 +140,7 @@
 	now := c.gateway.common.Clock.Now()
 	deadline, _ := ctx.Deadline()
 	request := message.Envelope{Call: callNumber, Body: message.PlaceRequest{
-		Request:     c.id,
+		Request:     c.loggedID,
 		Route:       c.route.ID,
 		Team:        c.team.ID,
 		Backends:    q.backends,
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -235,7 +235,7 @@
 	g := c.gateway
 	if notice.Invalid != "" {
 		g.common.Metrics.Counter("server_notices_invalid").Inc(1)
-		g.common.Log.WithFields(log.Fields{"request": c.id, "server": server.ID, "service": server.Service, "value": notice.Invalid}).Warn("server notice invalid")
+		g.common.Log.WithFields(log.Fields{"request": c.loggedID, "server": server.ID, "service": server.Service, "value": notice.Invalid}).Warn("server notice invalid")
 	}
 	change, changed := g.gate.Record(g.common.Clock.Now(), server, notice.Leaving, notice.PauseFor)
 	if !changed {
@@ -243,7 +243,7 @@
 	}
 	g.common.Metrics.Tagged(map[string]string{"verdict": change.Verdict.String()}).Counter("server_notices").Inc(1)
 	g.common.Log.WithFields(log.Fields{
-		"request": c.id, "server": server.ID, "service": server.Service, "incarnation": server.Incarnation, "pause": change.PauseFor,
+		"request": c.loggedID, "server": server.ID, "service": server.Service, "incarnation": server.Incarnation, "pause": change.PauseFor,
 	}).Info("server " + change.Verdict.String())
 }
 
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -26,8 +26,10 @@
 	state   *State
 	started time.Time
 	id      string
-	route   config.Route
-	team    config.Team
+	// loggedID is the id in log lines and in messages to the leader, where it only serves the log.
+	loggedID string
+	route    config.Route
+	team     config.Team
 	// body is nil if the request has no body.
 	body        *body
 	fingerprint uint64
@@ -63,12 +65,22 @@
 		started: g.common.Clock.Now(),
 		id:      r.Header.Get(platform.HeaderAttempt),
 	}
+	c.loggedID = shortenID(c.id)
 	if early, ok := w.(earlyWriter); ok {
 		c.started = early.ReadAt()
 	}
 	return c
 }
 
+// shortenID returns the start of an id that is longer than maxLoggedID.
+func shortenID(id string) string {
+	if len(id) <= maxLoggedID {
+		return id
+	}
+	// A clone does not keep the whole id in memory.
+	return strings.Clone(id[:maxLoggedID]) + "..."
+}
+
 // awaitReady waits up to maxLeaderWait for the first configuration or a new leader. After a restart of all VMs or the loss of the
 // leaderAddress, they are available within tenths of a second, while a refusal would fail the caller's request.
 func (c *call) awaitReady(ctx context.Context) {
@@ -200,7 +212,7 @@
 		version = c.state.Config.Version
 	}
 	g.common.Log.WithFields(log.Fields{
-		"request":  c.id,
+		"request":  c.loggedID,
 		"code":     int(c.code),
 		"status":   c.status,
 		"route":    c.route.ID,
