Limit all bytes of the stored ids of requests

What was found: `azuretiller serve` keeps the ids of requests that may run only once for 10 min on three VMs. A caller chooses them, up to the size of a head, and 200,000 of them are kept: up to 3 GB.

Cause: the limit of 64 MiB counted the bodies of responses only, not ids and response headers, and did not depend on the VM's memory.

Change: ids, headers and bodies count; the setting `memory` lowers the limits. Of an id beyond 256 bytes a hash is stored, so that a long one is still served.

--- a/cmd/standin/pkg/capacity/measurements.go
+++ b/cmd/standin/pkg/capacity/measurements.go
@@ -149,7 +149,7 @@
 	const count = 20000
 	before := demo.HeapBytes()
 	now := time.Now()
-	store := idempotency.New(now)
+	store := idempotency.New(now, 0)
 	for i := range count {
 		key := idempotency.Key{Team: "team", ID: azuretiller.RequestID(fmt.Sprintf("%036d", i))}
 		store.Reserve(key, "owner", make([]byte, 32), now)
--- a/cmd/standin/pkg/clientlimits/serve_process_test.go
+++ b/cmd/standin/pkg/clientlimits/serve_process_test.go
@@ -28,14 +28,14 @@
 const (
 	operatorToken = "token-of-the-operators"
 	// operatorPort is the port of the operators' listener of "azuretiller serve".
-	operatorPort     = 18050
-	keptRecords      = 1000
+	operatorPort = 18050
+	keptRecords  = 1000
 	// serveSlots is the number of requests that the backend server runs at the same time.
 	serveSlots = 1000
 	// slowPath is a path whose requests run until the test ends, and largePath one whose responses no buffer of the kernel holds.
-	slowPath      = "/reads/slow"
-	largePath     = "/reads/large"
-	largeResponse = 64 << 20
+	slowPath         = "/reads/slow"
+	largePath        = "/reads/large"
+	largeResponse    = 64 << 20
 	appendsPerSecond = 300
 )
 
--- a/pkg/idempotency/store.go
+++ b/pkg/idempotency/store.go
@@ -11,10 +11,16 @@
 
 const (
 	// Retention is how long a request ID is stored.
-	Retention  = 10 * time.Minute
+	Retention = 10 * time.Minute
+	// maxEntries is the maximum number of stored IDs, and maxBytes that of the bytes in them: of IDs, response headers and response bodies.
 	maxEntries = 200_000
-	// maxTotalBodyBytes is the maximum total size in bytes of the stored response bodies.
-	maxTotalBodyBytes = 64 << 20
+	maxBytes   = 64 << 20
+	// bytesShare is the share of the memory of the VM for these bytes, as a divisor, and entryShare the memory of the VM for each stored ID. An
+	// entry takes about 600 bytes besides.
+	bytesShare = 4
+	entryShare = 2 << 10
+	// headerLineBytes is the number of bytes that a line of a header takes besides its text.
+	headerLineBytes = 64
 	// MaxBodyBytes is the maximum size in bytes of one response body that is stored.
 	MaxBodyBytes = 32 << 10
 )
@@ -54,8 +60,8 @@
 type Store struct {
 	entries     map[Key]*list.Element
 	oldestFirst *list.List
-	// bodyBytes is the total size of the stored response bodies.
-	bodyBytes int
+	// bytes is the size of all entries.
+	bytes, maxBytes, maxEntries int
 	// completeSince is when the store was created or last evicted an ID before its Retention had passed. It may lack IDs that
 	// were reserved earlier.
 	completeSince time.Time
@@ -71,9 +77,26 @@
 	response    Response
 }
 
-// New returns an empty store. It has no record of IDs that were used before the given time.
-func New(now time.Time) *Store {
-	return &Store{entries: map[Key]*list.Element{}, oldestFirst: list.New(), completeSince: now}
+// New returns an empty store. It has no record of IDs that were used before the given time. It takes less than the usual maximum on a VM whose
+// memory, in bytes, is small; 0 stands for a VM of any size.
+func New(now time.Time, memory int64) *Store {
+	s := &Store{entries: map[Key]*list.Element{}, oldestFirst: list.New(), completeSince: now, maxBytes: maxBytes, maxEntries: maxEntries}
+	if memory > 0 {
+		s.maxBytes = min(s.maxBytes, int(memory/bytesShare))
+		s.maxEntries = min(s.maxEntries, int(memory/entryShare))
+	}
+	return s
+}
+
+// size returns the number of bytes that the entry counts.
+func (e *entry) size() int {
+	size := len(e.key.Team) + len(e.key.ID) + len(e.owner) + len(e.fingerprint) + len(e.response.Body)
+	for name, values := range e.response.Headers {
+		for _, value := range values {
+			size += len(name) + len(value) + headerLineBytes
+		}
+	}
+	return size
 }
 
 // Reserve reserves an ID for an owner unless the ID is already stored. It also returns the period up to now for which the
@@ -83,7 +106,9 @@
 	completeFor = now.Sub(s.completeSince)
 	element, ok := s.entries[key]
 	if !ok {
-		s.entries[key] = s.oldestFirst.PushBack(&entry{key: key, owner: owner, fingerprint: fingerprint, reservedAt: now})
+		e := &entry{key: key, owner: owner, fingerprint: fingerprint, reservedAt: now}
+		s.entries[key] = s.oldestFirst.PushBack(e)
+		s.bytes += e.size()
 		s.evictOldest(now)
 		return Reserved, Response{}, completeFor
 	}
@@ -119,9 +144,10 @@
 	if e.owner != owner || e.finished {
 		return
 	}
+	s.bytes -= e.size()
 	e.finished = true
 	e.response = response
-	s.bodyBytes += len(response.Body)
+	s.bytes += e.size()
 	s.evictOldest(now)
 }
 
@@ -135,10 +161,10 @@
 	}
 }
 
-// evictOldest deletes the oldest IDs while there are too many IDs or too many bytes of response bodies. The store is then no
+// evictOldest deletes the oldest IDs while there are too many IDs or too many bytes. The store is then no
 // longer complete for earlier IDs, as after a restart.
 func (s *Store) evictOldest(now time.Time) {
-	for s.oldestFirst.Len() > maxEntries || s.bodyBytes > maxTotalBodyBytes {
+	for s.oldestFirst.Len() > s.maxEntries || s.bytes > s.maxBytes {
 		s.remove(s.oldestFirst.Front())
 		s.completeSince = now
 	}
@@ -146,7 +172,7 @@
 
 func (s *Store) remove(element *list.Element) {
 	e := element.Value.(*entry)
-	s.bodyBytes -= len(e.response.Body)
+	s.bytes -= e.size()
 	delete(s.entries, e.key)
 	s.oldestFirst.Remove(element)
 }
--- a/pkg/ingress/forward.go
+++ b/pkg/ingress/forward.go
@@ -37,7 +37,7 @@
 	c.limitBody()
 	body := replay.New(c.request.Body, maxReplayBytes, nil)
 	idempotent := c.route.IsIdempotent(c.request.Method)
-	c.requestID = azuretiller.RequestID(c.request.Header.Get(headers.IdempotencyKey))
+	c.requestID = requestID(c.request.Header.Get(headers.IdempotencyKey))
 	fingerprint, err := c.fingerprint(body)
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		c.refuseLateBody(ctx)
--- a/pkg/ingress/ids.go
+++ b/pkg/ingress/ids.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"time"
 
 	"github.com/azuretiller/azuretiller"
@@ -20,6 +22,18 @@
 	Finish(s *snapshot.Snapshot, key idempotency.Key, owner string, response idempotency.Response)
 }
 
+// maxRequestID is the size in bytes up to which an id is stored as it is. A UUID has 36.
+const maxRequestID = 256
+
+// requestID returns the id of a request as it is stored, which is a hash of a long one.
+func requestID(sent string) azuretiller.RequestID {
+	if len(sent) <= maxRequestID {
+		return azuretiller.RequestID(sent)
+	}
+	hash := sha256.Sum256([]byte(sent))
+	return azuretiller.RequestID("sha256:" + hex.EncodeToString(hash[:]))
+}
+
 // serveOnce forwards a request that is not idempotent at most once. The caller may repeat it with the same request ID.
 func (c *call) serveOnce(ctx context.Context, body *replay.Body, head forward.Request) {
 	key := idempotency.Key{Team: c.team.ID, ID: c.requestID}
--- a/pkg/vmruntime/runtime.go
+++ b/pkg/vmruntime/runtime.go
@@ -101,7 +101,7 @@
 		sender:         dispatch.New(),
 		ready:          make(chan struct{}),
 		rates:          rateshare.New(self.ID, s.Control.MaxViewAge),
-		ids:            idempotency.New(now),
+		ids:            idempotency.New(now, s.MemoryBytes),
 		verdictWaiters: map[string]chan record.Verdict{},
 	}
 	rt.snapshot.Store(&snapshot.Snapshot{Self: self, MaxViewAge: s.Control.MaxViewAge})
