Count only unknown clients on the listener for other VMs

Cause: a connection counted after its handshake too, and was then never closed in favor of others.

Change: it does not count any more; who has the fleet's secret is no unknown client.

--- a/pkg/connlimit/evict.go
+++ b/pkg/connlimit/evict.go
@@ -156,10 +156,3 @@
 	defer c.mu.Unlock()
 	return min(bits.Len(uint(c.served)), levels-1)
 }
-
-// keep makes a connection one that is not closed in favor of others.
-func (c *conn) keep() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.setPhase(responding)
-}
--- a/pkg/connlimit/limiter.go
+++ b/pkg/connlimit/limiter.go
@@ -59,25 +59,15 @@
 	return &listener{Listener: inner, limiter: l}
 }
 
-// ListenPlain returns a listener whose connections are limited in number but do not speak HTTP. At the maximum, those that Keep was not called
-// for make room for others.
+// ListenPlain returns a listener whose connections are limited in number but do not speak HTTP. Those for which Keep was called do not count.
 func (l *Limiter) ListenPlain(inner net.Listener) net.Listener {
 	return &listener{Listener: inner, limiter: l, plain: true}
 }
 
-// Keep means that the client of a connection from ListenPlain is known, so that the connection is not closed in favor of others. Wrappers
-// of the connection must have a method NetConn that returns the wrapped one.
+// Keep means that the client of a connection from ListenPlain is known, so that the connection does not count any more.
 func Keep(nc net.Conn) {
-	for {
-		if c, ok := nc.(*conn); ok {
-			c.keep()
-			return
-		}
-		wrapper, ok := nc.(interface{ NetConn() net.Conn })
-		if !ok {
-			return
-		}
-		nc = wrapper.NetConn()
+	if c, ok := nc.(*conn); ok {
+		c.limiter.remove(c)
 	}
 }
 
