--- a/pkg/clientlimit/set.go
+++ b/pkg/clientlimit/set.go
@@ -8,9 +8,11 @@
 	"github.com/azuretiller/azuretiller/pkg/connlimit"
 )
 
+// The limits of a process whose settings name none are those of the smallest VMs.
 const (
-	// DefaultMemory and DefaultDescriptors apply to a process whose settings name no limits; they are those of the smallest VMs.
-	DefaultMemory      = 136 << 20
+	// DefaultMemory is a size in bytes.
+	DefaultMemory = 136 << 20
+	// DefaultDescriptors is a number of descriptors.
 	DefaultDescriptors = 2870
 )
 
--- a/pkg/connlimit/conn.go
+++ b/pkg/connlimit/conn.go
@@ -300,7 +300,7 @@
 		c.release()
 	}
 	c.mu.Unlock()
-	c.limiter.order.remove(c)
+	c.limiter.remove(c)
 	return errors.Wrap(c.Conn.Close(), "close connection")
 }
 
--- a/pkg/connlimit/evict.go
+++ b/pkg/connlimit/evict.go
@@ -131,7 +131,7 @@
 	}
 	c.mu.Unlock()
 	if returns {
-		c.limiter.order.restore(c)
+		c.limiter.restore(c)
 	}
 }
 
@@ -146,7 +146,7 @@
 	c.served++
 	c.mu.Unlock()
 	if c.level() != before {
-		c.limiter.order.promote(c)
+		c.limiter.promote(c)
 	}
 }
 
