Let a request run whose body was complete at the eviction

Cause: the end of a chunked body is known only once the handler has read it. If its connection was closed in favor of another just before, the request ran, and the connection was closed after a second, with its response.

Change: such a connection stays until its handler closes it.

Test: TestEvictedRequests (new with the change): the complete one stays, the stalled one is closed after a second.

--- a/pkg/connlimit/conn.go
+++ b/pkg/connlimit/conn.go
@@ -243,10 +243,15 @@
 // endBody means that the body has been read to its end.
 func (c *conn) endBody() {
 	c.mu.Lock()
-	defer c.mu.Unlock()
+	spared := c.phase == readingBody && c.evicted
 	if c.phase == readingBody {
 		c.setPhase(responding)
 	}
+	c.mu.Unlock()
+	if spared {
+		// The end of the body had arrived before the eviction, so that the request runs.
+		c.limiter.spare(c)
+	}
 }
 
 // endRequest means that the response has been sent. What net/http has read beyond the request belongs to the next head; of the lines of such
--- a/pkg/connlimit/order.go
+++ b/pkg/connlimit/order.go
@@ -165,6 +165,13 @@
 	o.take(c)
 }
 
+// spare lets an evicted connection stay until its handler closes it.
+func (o *order) spare(c *conn) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.dismissed, c)
+}
+
 // late returns the connections whose time is over.
 func (o *order) late(now time.Time, limits Limits) (late []*conn) {
 	o.mu.Lock()
--- a/pkg/connlimit/order_test.go
+++ b/pkg/connlimit/order_test.go
@@ -137,6 +137,27 @@
 	assert.True(t, s.isOpen(frequent))
 }
 
+// TestEvictedRequests guards against requests that are cut although their body is complete, and against connections that stay for good
+// after the eviction.
+func TestEvictedRequests(t *testing.T) {
+	s := newClients(2 * dismissedShare)
+	complete, stalled := s.open(), s.open()
+	s.start(complete, -1)
+	s.start(stalled, -1)
+	for range 2 * dismissedShare {
+		require.NotNil(t, s.open())
+	}
+	for _, c := range []*conn{complete, stalled} {
+		assert.True(t, c.isEvicted())
+		assert.False(t, c.closed, "the handler may refuse the request")
+	}
+	complete.endBody()
+	s.now = s.now.Add(2 * dismissTimeout)
+	s.limiter.sweep()
+	assert.False(t, complete.closed)
+	assert.True(t, stalled.closed)
+}
+
 // TestClosedConnectionWaitsForItsClient closes connections in any state: the one that goes is never needed, and no other on its level has waited
 // longer.
 func TestClosedConnectionWaitsForItsClient(t *testing.T) {
