--- a/cmd/standin/pkg/clientlimits/callers_test.go
+++ b/cmd/standin/pkg/clientlimits/callers_test.go
@@ -143,9 +143,23 @@
 // TestOrdinaryCallersBesideStalledOnes guards against ordinary callers whose connections are closed, before or between their requests, since
 // others with stalled requests have taken all connections and more of them come.
 func TestOrdinaryCallersBesideStalledOnes(t *testing.T) {
+	testOrdinaryCallers(t, func(t *testing.T) checker { return startProcess(t, fewFds, servers) })
+}
+
+// TestServeOrdinaryCallersBesideStalledOnes guards against the same in "azuretiller serve".
+func TestServeOrdinaryCallersBesideStalledOnes(t *testing.T) {
+	testOrdinaryCallers(t, func(t *testing.T) checker { return startServe(t, fewFds) })
+}
+
+// checker is a running process of either program.
+type checker interface {
+	check(t *testing.T)
+}
+
+func testOrdinaryCallers(t *testing.T, start func(t *testing.T) checker) {
 	for _, s := range stalls() {
 		t.Run(s.name, func(t *testing.T) {
-			p := startProcess(t, fewFds, servers)
+			p := start(t)
 			c := &crowd{stall: s, statuses: map[int]int{}}
 			kept, keptReader := dialOrdinary(t)
 			for range keptRequests {
