Bound the time for which a stopping `serve` waits for slow readers

What callers saw: nothing; on-call saw a VM that did not end after SIGTERM while callers read large responses slowly.

Cause: each write of a response has a deadline of its own, and the drain waited for all responses without an end.

Change: after `drain`, running requests may take as long as the new setting `grace` (1 s to 10 min, 5 min unless set). What is cut then is logged and counted as requests cut.

--- a/cmd/standin/pkg/clientlimits/serve_process_test.go
+++ b/cmd/standin/pkg/clientlimits/serve_process_test.go
@@ -66,7 +66,7 @@
 
 func formatServeSettings(platform string) string {
 	return fmt.Sprintf(`{"vm": "vm-0", "zone": "zone-0", "caller": %q, "peer": %q, "operator": %q, "secret": "token", "token": "token",
-"platform": {"url": %q, "token": "token"}, "headers": %d, "drain": "1s", "log": {"level": "error"}}`,
+"platform": {"url": %q, "token": "token"}, "headers": %d, "drain": "1s", "grace": "30s", "log": {"level": "error"}}`,
 		address(loopback.CallerPort), address(loopback.PeerPort), address(operatorPort), platform, maxHeaderBytes)
 }
 
--- a/cmd/standin/pkg/clientlimits/serve_test.go
+++ b/cmd/standin/pkg/clientlimits/serve_test.go
@@ -16,6 +16,9 @@
 	"github.com/azuretiller/azuretiller/cmd/standin/pkg/loopback"
 )
 
+// slowRead is the number of bytes that a slow reader reads each sampleInterval, so that a large response takes minutes.
+const slowRead = 4 << 10
+
 // serveRequest returns the first lines of a request to "azuretiller serve".
 func serveRequest(method, path string) string {
 	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer %s\r\n", method, path, host, key)
@@ -111,6 +114,30 @@
 		}()
 	}
 	p.requireAnswer(t, "beside slow bodies")
+	p.requireStop(t)
+}
+
+// TestServeStopsBesideSlowReaders guards against a process that does not stop while callers read their responses slowly.
+func TestServeStopsBesideSlowReaders(t *testing.T) {
+	p := startServe(t, maxFds)
+	for range 3 {
+		conn, reader := dialOrdinary(t)
+		_, err := io.WriteString(conn, serveRequest(http.MethodGet, largePath)+"\r\n")
+		require.NoError(t, err)
+		_, err = reader.ReadByte()
+		require.NoError(t, err, "the response has begun")
+		go func() {
+			for _, err := io.CopyN(io.Discard, reader, slowRead); err == nil; _, err = io.CopyN(io.Discard, reader, slowRead) {
+				time.Sleep(sampleInterval)
+			}
+		}()
+	}
+	p.requireStop(t)
+}
+
+// requireStop requires that the process ends after SIGTERM.
+func (p serveProcess) requireStop(t *testing.T) {
+	t.Helper()
 	require.NoError(t, p.command.Process.Signal(syscall.SIGTERM))
 	ctx, cancel := context.WithTimeout(t.Context(), guardTimeout)
 	defer cancel()
--- a/pkg/settings/load.go
+++ b/pkg/settings/load.go
@@ -17,7 +17,9 @@
 
 const (
 	minSecretBytes = 16
-	maxDrain       = 10 * time.Minute
+	// maxDuration is the largest value of the settings "drain" and "grace", and minGrace the smallest one of "grace".
+	maxDuration = 10 * time.Minute
+	minGrace    = time.Second
 	// minHeaderBytes and maxHeaderBytes are the bounds of the "headers" setting.
 	minHeaderBytes = 4 << 10
 	maxHeaderBytes = 1 << 20
@@ -94,7 +96,8 @@
 		"secret":   {true, l.secretFile(func(v []byte) { s.FleetSecret = v })},
 		"token":    {true, l.secretFile(func(v []byte) { s.OperatorToken = string(v) })},
 		"seeds":    {false, l.addresses(func(v []string) { s.Seeds = v })},
-		"drain":    {false, l.drainDuration(func(v time.Duration) { s.DrainDuration = v })},
+		"drain":    {false, l.duration(0, func(v time.Duration) { s.DrainDuration = v })},
+		"grace":    {false, l.duration(minGrace, func(v time.Duration) { s.GracePeriod = v })},
 		"headers":  {false, l.number("bytes", minHeaderBytes, maxHeaderBytes, func(v int) { s.MaxHeaderBytes = v })},
 		"memory":   {false, l.number("MiB", minMemory, maxMemory, func(v int) { s.MemoryBytes = int64(v) << 20 })},
 		"files":    {false, l.number("descriptors", minDescriptors, maxDescriptors, func(v int) { s.Descriptors = v })},
@@ -194,12 +197,13 @@
 	}
 }
 
-func (l *loader) drainDuration(set func(time.Duration)) func(string, hujson.Value) {
+// duration reads a duration from the smallest one to maxDuration.
+func (l *loader) duration(smallest time.Duration, set func(time.Duration)) func(string, hujson.Value) {
 	return func(field string, v hujson.Value) {
 		l.nonEmptyString(func(text string) {
 			d, err := time.ParseDuration(text)
-			if err != nil || d < 0 || d > maxDrain {
-				l.addProblem(l.line(v), field, "must be a duration from 0s to "+maxDrain.String())
+			if err != nil || d < smallest || d > maxDuration {
+				l.addProblem(l.line(v), field, "must be a duration from "+smallest.String()+" to "+maxDuration.String())
 				return
 			}
 			set(d)
--- a/pkg/settings/load_test.go
+++ b/pkg/settings/load_test.go
@@ -22,7 +22,7 @@
   "secret": "secret",
   "token": "secret",
   "platform": {"url": "http://127.0.0.1:9000", "token": "secret"},
-  "headers": 8192, "memory": 256, "files": 4096,
+  "headers": 8192, "memory": 256, "files": 4096, "grace": "40s",
   "drain": "3s", // shorter than the default
 }`
 
@@ -49,6 +49,7 @@
 	require.Equal(t, 8192, s.MaxHeaderBytes)
 	require.Equal(t, int64(256<<20), s.MemoryBytes)
 	require.Equal(t, 4096, s.Descriptors)
+	require.Equal(t, 40*time.Second, s.GracePeriod)
 	require.Equal(t, "0123456789abcdef", s.OperatorToken)
 	require.Equal(t, "info", s.Log.Level)
 }
@@ -72,6 +73,7 @@
 		{"memory smaller than the program", `256`, `10`, ":11: memory: must be a number of MiB from 64 to 1048576"},
 		{"too few descriptors", `4096`, `0`, ":11: files: must be a number of descriptors from 300 to 1048576"},
 		{"fraction of a descriptor", `4096`, `4096.5`, ":11: files: must be a number of descriptors from 300 to 1048576"},
+		{"no grace period", `40s`, `0s`, ":11: grace: must be a duration from 1s to 10m0s"},
 		{"invalid JSON", `"vm": "a1",`, `"vm" "a1",`, ":3: file: "},
 	}
 	for _, tc := range tests {
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -23,6 +23,8 @@
 	// DrainDuration is how long a leaving VM keeps serving callers after its address was removed from the address lists, so
 	// that callers with an earlier list can still reach it.
 	DrainDuration time.Duration
+	// GracePeriod is how long the running requests may take after that. They are cut at its end.
+	GracePeriod time.Duration
 	// MaxHeaderBytes is the limit on the size of a request's headers, in bytes.
 	MaxHeaderBytes int
 	// MemoryBytes is the memory of the VM, and Descriptors is how many of them the process may open, for the limits for clients. 0 stands for
@@ -48,6 +50,7 @@
 		Log:            Log{Level: "info"},
 		Control:        control.DefaultParams(),
 		DrainDuration:  12 * time.Second,
+		GracePeriod:    5 * time.Minute,
 		MaxHeaderBytes: 64 << 10,
 	}
 }
--- a/pkg/vmruntime/runtime.go
+++ b/pkg/vmruntime/runtime.go
@@ -177,13 +177,20 @@
 }
 
 // drain announces that this VM is leaving, so that new address lists do not contain it. It serves callers until the earlier
-// lists have expired and then waits for the running requests.
+// lists have expired and then waits for the running requests, at most for the grace period.
 func (rt *Runtime) drain(ctx context.Context, callerServer *http.Server) {
 	rt.common.Log.WithField("vm", rt.self.ID).Info("leaving")
 	rt.postEvent(control.LeaveBegun{At: rt.common.Clock.Now()})
 	timer.Sleep(ctx, rt.settings.DrainDuration)
+	// A caller may read its response as slowly as it likes.
+	ctx, cancel := context.WithTimeout(ctx, rt.settings.GracePeriod)
+	defer cancel()
 	_ = callerServer.Shutdown(ctx)
 	rt.ownedPools.Drain(ctx)
+	if running := rt.ingress.Running() + rt.ownedPools.Running(); running > 0 {
+		rt.common.Log.WithField("running", running).Warn("requests cut")
+		rt.common.Metrics.Counter("requests_cut").Inc(int64(running))
+	}
 	rt.common.Log.WithField("vm", rt.self.ID).Info("left")
 }
 
