Refuse new callers if every connection has a running request

What callers saw: while each connection of a VM had a running request, new ones were closed without an answer, which a caller cannot tell from a lost one.

Cause: the limiter closed a connection for which there was no place as soon as it was accepted. The one that had just got the last place had not been read yet, so that it was closed in favor of the next one.

Change: the first head of such a connection is read, for at most a second, and gets a 503 with Retry-After, as many at a time as an eighth of the maximum. A silent connection gets 100 ms for its first bytes, as long as its successor can be refused.

Test: TestNewCallersAreRefusedBesideRunningRequests, 150 running requests and more until 20 connections have been closed.

--- a/cmd/standin/pkg/clientlimits/callers_test.go
+++ b/cmd/standin/pkg/clientlimits/callers_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"strings"
@@ -15,6 +16,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/azuretiller/azuretiller/cmd/standin/pkg/backendserver"
 	"github.com/azuretiller/azuretiller/cmd/standin/pkg/loopback"
 	"github.com/azuretiller/azuretiller/platform"
 )
@@ -22,6 +24,8 @@
 const (
 	// mostStalled is more than the connections of callers that the process admits with fewFds.
 	mostStalled = 1000
+	// mostRunning is fewer than that.
+	mostRunning = 150
 	// newcomers is the number of stalled connections that are opened after the ordinary one.
 	newcomers = 20
 	// keptRequests is the number of requests that the ordinary caller has sent on its kept connection.
@@ -198,3 +202,35 @@
 	assert.Zero(t, c.statuses[0], "connections closed without a response")
 	assert.Positive(t, c.statuses[http.StatusServiceUnavailable], "refusals")
 }
+
+// TestNewCallersAreRefusedBesideRunningRequests guards against callers whose new connections are closed without a response since each connection
+// has a running request. No request of theirs has run, so that they may be told to return.
+func TestNewCallersAreRefusedBesideRunningRequests(t *testing.T) {
+	p := startProcess(t, fewFds, manyServers)
+	for _, server := range p.servers {
+		server.SetFault(backendserver.Healthy, guardTimeout)
+	}
+	c := &crowd{statuses: map[int]int{}, stall: stall{send: func(conn net.Conn, _ *bufio.Reader, number int) {
+		_, _ = io.WriteString(conn, requestStart(http.MethodPost, "/orders/1", number)+"Content-Length: 0\r\n\r\n")
+	}}}
+	for c.opened < mostRunning {
+		c.open(t)
+	}
+	// One at a time, as the number of callers that are refused at the same time is limited.
+	for closed := 0; closed < newcomers; closed = c.closedConns() {
+		require.Less(t, c.opened, mostStalled, "the number of connections is limited")
+		c.open(t)
+		for wait := 0; wait < 5 && c.closedConns() == closed; wait++ {
+			time.Sleep(sampleInterval)
+		}
+	}
+	c.mu.Lock()
+	statuses := maps.Clone(c.statuses)
+	c.mu.Unlock()
+	assert.Zero(t, statuses[0], "connections closed without a response")
+	assert.Positive(t, statuses[http.StatusServiceUnavailable], "refusals")
+	for _, server := range p.servers {
+		server.SetFault(backendserver.Healthy, 0)
+	}
+	p.check(t)
+}
--- a/pkg/connlimit/conn.go
+++ b/pkg/connlimit/conn.go
@@ -24,13 +24,6 @@
 	readBuffer = 4 << 10
 	// slowWrite is the time after which a write counts as one that waits for the client to read.
 	slowWrite = time.Second
-	// refuseTimeout bounds the time to write a refusal.
-	refuseTimeout = 200 * time.Millisecond
-
-	tooLarge = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
-	// unavailable may promise that the request does not run, since its head never reaches net/http.
-	// The same holds for a head that is not complete.
-	unavailable = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 )
 
 // phase is what happens on a connection.
--- a/pkg/connlimit/evict.go
+++ b/pkg/connlimit/evict.go
@@ -121,6 +121,13 @@
 	return c.evicted
 }
 
+// isSilent reports whether the client has sent nothing yet.
+func (c *conn) isSilent() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.served == 0 && c.phase == awaitingHead
+}
+
 // reorder returns a connection to the order if it is not needed any more.
 func (c *conn) reorder() {
 	c.mu.Lock()
--- a/pkg/connlimit/limiter.go
+++ b/pkg/connlimit/limiter.go
@@ -137,7 +137,7 @@
 	}
 }
 
-// admit adds a connection. At the maximum, it closes another one, and reports false if all of them are needed.
+// admit adds a connection. At the maximum, it closes another one, and reports false if there is none to close.
 func (l *Limiter) admit(c *conn) bool {
 	dropped, mayWait, admitted := l.add(c, l.now())
 	if dropped != nil {
@@ -147,6 +147,19 @@
 	return admitted
 }
 
+// turnAway refuses the first request of a connection for which there is no place, and closes it.
+func (l *Limiter) turnAway(nc net.Conn, plain bool) {
+	if plain || !l.refusals.Take(1) {
+		_ = nc.Close()
+		return
+	}
+	go func() {
+		defer l.refusals.Put(1)
+		defer func() { _ = nc.Close() }()
+		refuseFirst(nc, l.limits().HeadBytes)
+	}()
+}
+
 // listener accepts connections of a limiter.
 type listener struct {
 	net.Listener
@@ -167,7 +180,7 @@
 			return c, nil
 		}
 		l.limiter.refused("connections")
-		_ = accepted.Close()
+		l.limiter.turnAway(accepted, l.plain)
 	}
 }
 
--- a/pkg/connlimit/order.go
+++ b/pkg/connlimit/order.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/azuretiller/azuretiller/pkg/bytebudget"
 	"github.com/azuretiller/azuretiller/pkg/timeheap"
 )
 
@@ -15,6 +16,8 @@
 	dismissedShare = 8
 	// dismissTimeout is how long such a connection stays at most.
 	dismissTimeout = time.Second
+	// newTime is the time that a new client gets to begin its first request, as long as others can be refused instead.
+	newTime = 100 * time.Millisecond
 )
 
 // order holds the open connections, and those that wait for their client in the order in which they are closed in favor of others. Their
@@ -29,10 +32,15 @@
 	searchedAt time.Time
 	// dismissed holds the evicted connections that are still open, and since when they are evicted.
 	dismissed map[*conn]time.Time
+	// refusals has one unit for each connection beyond the maximum whose request is refused.
+	refusals *bytebudget.Budget
 }
 
 func newOrder(maxConns int) *order {
-	o := &order{max: maxConns, conns: map[*conn]struct{}{}, dismissed: map[*conn]time.Time{}}
+	o := &order{
+		max: maxConns, conns: map[*conn]struct{}{}, dismissed: map[*conn]time.Time{},
+		refusals: bytebudget.New(int64(maxConns / dismissedShare)),
+	}
 	for i := range o.waiting {
 		o.waiting[i] = timeheap.New[*conn]()
 	}
@@ -40,7 +48,7 @@
 }
 
 // add adds a connection. At the maximum it also returns the one to close instead, and whether that one may stay until its client is refused; it
-// reports false if all connections are needed.
+// reports false if there is none.
 func (o *order) add(c *conn, now time.Time) (dropped *conn, mayWait, admitted bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -58,9 +66,9 @@
 	return dropped, mayWait, true
 }
 
-// evict evicts a connection, or returns nil if all of them are needed.
+// evict evicts a connection, or returns nil if all of them are needed, or new and silent.
 func (o *order) evict(now time.Time) *conn {
-	if c := o.evictFirst(); c != nil {
+	if c, isNew := o.evictFirst(now); c != nil || isNew {
 		return c
 	}
 	if now.Sub(o.searchedAt) < sweepInterval {
@@ -73,27 +81,41 @@
 			o.place(c, since)
 		}
 	}
-	return o.evictFirst()
+	c, _ := o.evictFirst(now)
+	return c
 }
 
-func (o *order) evictFirst() *conn {
+// evictFirst evicts the first connection in the order that still waits. It reports if that one is too new.
+func (o *order) evictFirst(now time.Time) (c *conn, isNew bool) {
 	for {
 		c, seen, ok := o.first()
 		if !ok {
-			return nil
+			return nil, false
+		}
+		if c.isSilent() && now.Sub(seen) < newTime && o.mayRefuse() {
+			return nil, true
 		}
-		switch now, since := c.tryEvict(seen); now {
+		switch state, since := c.tryEvict(seen); state {
 		case progressed:
 			o.place(c, since)
 		case inUse:
 			o.take(c)
 		case evicted:
 			o.take(c)
-			return c
+			return c, false
 		}
 	}
 }
 
+// mayRefuse reports whether a connection beyond the maximum may be refused.
+func (o *order) mayRefuse() bool {
+	if !o.refusals.Take(1) {
+		return false
+	}
+	o.refusals.Put(1)
+	return true
+}
+
 // first returns the connection that is closed next if it still waits: the one of level 0 that has waited longest, or the one of the lowest other
 // level if it has waited even longer and the served clients have more than their share.
 func (o *order) first() (c *conn, since time.Time, ok bool) {
