Open the last connections of two tests one at a time

Cause: TestClosedUploadIsRefused opened connections until it noticed that one had been closed, and expects a refusal for each that is closed. As many as an eighth of the maximum are refused at a time, so that on a slow machine more could be closed meanwhile. It was not seen to fail.

Change: from 150 connections on, both tests of refusals wait for a moment after each. The checks are the same.

--- a/cmd/standin/pkg/clientlimits/callers_test.go
+++ b/cmd/standin/pkg/clientlimits/callers_test.go
@@ -24,8 +24,8 @@
 const (
 	// mostStalled is more than the connections of callers that the process admits with fewFds.
 	mostStalled = 1000
-	// mostRunning is fewer than that.
-	mostRunning = 150
+	// almostAll is fewer than that.
+	almostAll = 150
 	// newcomers is the number of stalled connections that are opened after the ordinary one.
 	newcomers = 20
 	// keptRequests is the number of requests that the ordinary caller has sent on its kept connection.
@@ -115,6 +115,22 @@
 	}
 }
 
+// fillSlowly opens connections until the process has closed as many as given. Close to the maximum it opens one at a time, as only some callers
+// are refused at the same time.
+func (c *crowd) fillSlowly(t *testing.T, closed int) {
+	t.Helper()
+	for c.opened < almostAll {
+		c.open(t)
+	}
+	for before := 0; before < closed; before = c.closedConns() {
+		require.Less(t, c.opened, mostStalled, "the number of connections is limited")
+		c.open(t)
+		for wait := 0; wait < 5 && c.closedConns() == before; wait++ {
+			time.Sleep(sampleInterval)
+		}
+	}
+}
+
 // readStatus returns the status of the next response, or 0 if the connection ends before.
 func readStatus(reader *bufio.Reader) int {
 	response, err := http.ReadResponse(reader, nil)
@@ -195,7 +211,7 @@
 func TestClosedUploadIsRefused(t *testing.T) {
 	p := startProcess(t, fewFds, servers)
 	c := &crowd{stall: stalls()[1], statuses: map[int]int{}}
-	c.fill(t)
+	c.fillSlowly(t, 1)
 	p.check(t)
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -213,17 +229,7 @@
 	c := &crowd{statuses: map[int]int{}, stall: stall{send: func(conn net.Conn, _ *bufio.Reader, number int) {
 		_, _ = io.WriteString(conn, requestStart(http.MethodPost, "/orders/1", number)+"Content-Length: 0\r\n\r\n")
 	}}}
-	for c.opened < mostRunning {
-		c.open(t)
-	}
-	// One at a time, as the number of callers that are refused at the same time is limited.
-	for closed := 0; closed < newcomers; closed = c.closedConns() {
-		require.Less(t, c.opened, mostStalled, "the number of connections is limited")
-		c.open(t)
-		for wait := 0; wait < 5 && c.closedConns() == closed; wait++ {
-			time.Sleep(sampleInterval)
-		}
-	}
+	c.fillSlowly(t, newcomers)
 	c.mu.Lock()
 	statuses := maps.Clone(c.statuses)
 	c.mu.Unlock()
