Wait in the test of the maximum until the request has ended

Cause: TestMaximumOfConnections counts connections with a running request. The caller may get its response before the server has ended that request, so that the count was reached before the next request had begun; its silent connection was then closed instead of the idle one.

Change: the test waits until both connections await a request. Its checks are the same.

--- a/pkg/connlimit/limiter_test.go
+++ b/pkg/connlimit/limiter_test.go
@@ -260,6 +260,8 @@
 	used.send(t, get)
 	status, _ := used.read()
 	require.Equal(t, 200, status)
+	// The caller may get its response before the server has ended the request, which then counts as running.
+	require.Eventually(t, func() bool { return f.waiting() == 2 }, testTimeout, time.Millisecond, "both connections await a request")
 	second := f.dial(t)
 	unused.readClosed(t)
 	second.send(t, "POST /wait HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nab")
