Take the lock of a connection once for each read and request

Cause: each read from a connection took its lock a third time only to learn whether it had been evicted, which count knows, and each served request took it three times. The ranks of a first and of a later head, and the exception of plain connections for slow writes, had lost their meaning: nothing tells them apart since the longest wait decides.

Change: count reports whether the bytes may be passed on, markServed compares the levels under one lock, and the ranks are merged.

--- a/pkg/connlimit/conn.go
+++ b/pkg/connlimit/conn.go
@@ -84,11 +84,11 @@
 	}
 	n, err := c.Conn.Read(p)
 	if n > 0 && !c.plain {
-		refusal := c.count(p[:n])
+		refusal, ok := c.count(p[:n])
 		if refusal != "" {
 			c.refuse(refusal)
 		}
-		if refusal != "" || c.isRefused() {
+		if !ok {
 			// net/http closes the connection without a response of its own after a timeout.
 			return 0, os.ErrDeadlineExceeded
 		}
@@ -123,12 +123,12 @@
 	return c.refused || c.evicted
 }
 
-// count counts bytes that were read, and returns the response with which the head is refused, if it is.
-func (c *conn) count(p []byte) (refusal string) {
+// count counts bytes that were read, and reports whether net/http may have them. If the head is refused, it returns the response.
+func (c *conn) count(p []byte) (refusal string, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.evicted {
-		return ""
+		return "", false
 	}
 	used := 0
 	switch c.phase {
@@ -149,18 +149,18 @@
 		if c.phase == readingBody && c.bodyLength >= 0 && c.rest.bytes >= c.bodyLength {
 			c.setPhase(responding)
 		}
-		return ""
+		return "", true
 	}
 	// More than a read buffer behind a head that the handler has not got means that net/http still reads the head.
 	if c.head.Bytes() > c.limiter.limits().HeadBytes+headSlack || c.rest.bytes > 2*readBuffer {
 		c.limiter.refused("head too large")
-		return tooLarge
+		return tooLarge, false
 	}
 	if !c.reserve() {
 		c.limiter.refused("memory of heads")
-		return unavailable
+		return unavailable, false
 	}
-	return ""
+	return "", true
 }
 
 // countRest counts bytes that follow the head.
--- a/pkg/connlimit/evict.go
+++ b/pkg/connlimit/evict.go
@@ -9,8 +9,7 @@
 type rank int
 
 const (
-	awaitsFirstHead rank = iota
-	awaitsNextHead
+	awaitsHead rank = iota
 	// awaitsClient means that the client sends a body or reads a response.
 	awaitsClient
 	// needed is the rank of connections that are not closed in favor of others.
@@ -30,7 +29,7 @@
 
 func (c *conn) rankLocked() (rank, time.Time) {
 	switch {
-	case !c.plain && !c.writing.IsZero() && c.limiter.now().Sub(c.writing) > slowWrite:
+	case !c.writing.IsZero() && c.limiter.now().Sub(c.writing) > slowWrite:
 		return awaitsClient, c.writing
 	case c.phase == readingBody:
 		earned := c.bodySince.Add(time.Duration(c.rest.bytes) * time.Second / bodyRate)
@@ -40,10 +39,8 @@
 		return awaitsClient, c.since
 	case c.phase == headRead || c.phase == responding:
 		return needed, c.since
-	case c.served > 0:
-		return awaitsNextHead, c.since
 	default:
-		return awaitsFirstHead, c.since
+		return awaitsHead, c.since
 	}
 }
 
@@ -148,11 +145,12 @@
 
 // markServed counts a served request.
 func (c *conn) markServed() {
-	before := c.level()
 	c.mu.Lock()
+	before := c.levelLocked()
 	c.served++
+	rises := c.levelLocked() != before
 	c.mu.Unlock()
-	if c.level() != before {
+	if rises {
 		c.limiter.promote(c)
 	}
 }
@@ -161,5 +159,7 @@
 func (c *conn) level() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return min(bits.Len(uint(c.served)), levels-1)
+	return c.levelLocked()
 }
+
+func (c *conn) levelLocked() int { return min(bits.Len(uint(c.served)), levels-1) }
