Share the checks of both programs in clientlimits, and plainer comments

serveProcess wrote the check of a process and its ordinary request again; it calls them now and adds the operators' answer. The crowds have a constructor, and the two tests of refusals one check. Comments that told of a former state say what the code does.

No assertion is dropped: a process of serve must live, answer callers and operators, and stay within the same bounds.

--- a/cmd/standin/pkg/clientlimits/callers_test.go
+++ b/cmd/standin/pkg/clientlimits/callers_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"fmt"
 	"io"
-	"maps"
 	"net"
 	"net/http"
 	"strings"
@@ -80,6 +79,8 @@
 	statuses map[int]int
 }
 
+func newCrowd(s stall) *crowd { return &crowd{stall: s, statuses: map[int]int{}} }
+
 // open opens one more connection and returns after it has sent its part.
 func (c *crowd) open(t *testing.T) {
 	t.Helper()
@@ -99,6 +100,15 @@
 	}()
 }
 
+// requireRefusals requires that each closed connection got a response, and that some were refused.
+func (c *crowd) requireRefusals(t *testing.T) {
+	t.Helper()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	assert.Zero(t, c.statuses[0], "connections closed without a response")
+	assert.Positive(t, c.statuses[http.StatusServiceUnavailable], "refusals")
+}
+
 // closedConns returns how many of the connections the process has closed.
 func (c *crowd) closedConns() int {
 	c.mu.Lock()
@@ -180,7 +190,7 @@
 	for _, s := range stalls() {
 		t.Run(s.name, func(t *testing.T) {
 			p := start(t)
-			c := &crowd{stall: s, statuses: map[int]int{}}
+			c := newCrowd(s)
 			kept, keptReader := dialOrdinary(t)
 			for range keptRequests {
 				requireServed(t, kept, keptReader, "the first requests of the kept connection")
@@ -210,13 +220,10 @@
 // server has got any of them, so that their callers may be told to return.
 func TestClosedUploadIsRefused(t *testing.T) {
 	p := startProcess(t, fewFds, servers)
-	c := &crowd{stall: stalls()[1], statuses: map[int]int{}}
+	c := newCrowd(stalls()[1])
 	c.fillSlowly(t, 1)
 	p.check(t)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	assert.Zero(t, c.statuses[0], "connections closed without a response")
-	assert.Positive(t, c.statuses[http.StatusServiceUnavailable], "refusals")
+	c.requireRefusals(t)
 }
 
 // TestNewCallersAreRefusedBesideRunningRequests guards against callers whose new connections are closed without a response since each connection
@@ -226,15 +233,11 @@
 	for _, server := range p.servers {
 		server.SetFault(backendserver.Healthy, guardTimeout)
 	}
-	c := &crowd{statuses: map[int]int{}, stall: stall{send: func(conn net.Conn, _ *bufio.Reader, number int) {
+	c := newCrowd(stall{send: func(conn net.Conn, _ *bufio.Reader, number int) {
 		_, _ = io.WriteString(conn, requestStart(http.MethodPost, "/orders/1", number)+"Content-Length: 0\r\n\r\n")
-	}}}
+	}})
 	c.fillSlowly(t, newcomers)
-	c.mu.Lock()
-	statuses := maps.Clone(c.statuses)
-	c.mu.Unlock()
-	assert.Zero(t, statuses[0], "connections closed without a response")
-	assert.Positive(t, statuses[http.StatusServiceUnavailable], "refusals")
+	c.requireRefusals(t)
 	for _, server := range p.servers {
 		server.SetFault(backendserver.Healthy, 0)
 	}
--- a/cmd/standin/pkg/clientlimits/serve_process_test.go
+++ b/cmd/standin/pkg/clientlimits/serve_process_test.go
@@ -13,7 +13,6 @@
 	"testing"
 	"time"
 
-	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/azuretiller/azuretiller"
@@ -44,8 +43,8 @@
 	*process
 }
 
-// startServe starts a fleet of one VM with one backend server and waits until it serves requests. The VM may open as many descriptors as
-// given.
+// startServe starts a fleet of one VM with one backend server and waits until it serves requests. The process may open the given number of
+// descriptors.
 func startServe(t *testing.T, descriptors int) serveProcess {
 	t.Helper()
 	folder := t.TempDir()
@@ -121,44 +120,12 @@
 	}
 }
 
-// requireAnswer requires that the process answers an ordinary request of a caller.
-func (p serveProcess) requireAnswer(t *testing.T, when string) {
-	t.Helper()
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: guardTimeout}
-	require.Eventually(t, func() bool {
-		request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+address(loopback.CallerPort)+"/reads/1", nil)
-		if err != nil {
-			return false
-		}
-		request.Header.Set("Authorization", "Bearer "+key)
-		response, err := client.Do(request)
-		if err != nil {
-			return false
-		}
-		defer func() { _ = response.Body.Close() }()
-		_, err = io.Copy(io.Discard, response.Body)
-		return err == nil && response.StatusCode == http.StatusOK
-	}, guardTimeout, 100*time.Millisecond, "an ordinary request is answered "+when)
-}
-
-// check requires that the process lives, answers callers and operators, and has stayed within its memory and descriptors.
+// check requires what process.check does, and that operators are answered too.
 func (p serveProcess) check(t *testing.T) {
 	t.Helper()
-	select {
-	case <-p.exited:
-		require.Fail(t, "the process has ended")
-	default:
-	}
-	p.requireAnswer(t, "afterwards")
+	p.process.check(t)
 	require.Eventually(t, func() bool {
 		_, err := operatorclient.New(address(operatorPort), operatorToken).Tree(t.Context(), "/zones")
 		return err == nil
 	}, guardTimeout, 100*time.Millisecond, "operators are answered afterwards")
-	p.mu.Lock()
-	peakFds := p.peakFds
-	p.mu.Unlock()
-	peakMemory := p.peakMemory(t)
-	t.Logf("peak of the resident set %d MiB, of the descriptors %d", peakMemory>>20, peakFds)
-	assert.LessOrEqual(t, peakMemory>>20, memoryMB, "resident set in MiB")
-	assert.LessOrEqual(t, peakFds, p.maxFds, "open descriptors")
 }
--- a/cmd/standin/pkg/clientlimits/serve_test.go
+++ b/cmd/standin/pkg/clientlimits/serve_test.go
@@ -19,7 +19,7 @@
 // slowRead is the number of bytes that a slow reader reads each sampleInterval, so that a large response takes minutes.
 const slowRead = 4 << 10
 
-// serveRequest returns the first lines of a request to "azuretiller serve".
+// serveRequest returns the head of a request to "azuretiller serve" without the empty line at its end.
 func serveRequest(method, path string) string {
 	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer %s\r\n", method, path, host, key)
 }
@@ -84,7 +84,7 @@
 	p.check(t)
 }
 
-// TestServeIdleConnections guards against idle connections to each of the listeners that exhaust the descriptors, which ended the process.
+// TestServeIdleConnections guards against idle connections to each of the listeners that exhaust the descriptors.
 func TestServeIdleConnections(t *testing.T) {
 	for _, c := range []struct {
 		name string
--- a/pkg/clientlimit/set.go
+++ b/pkg/clientlimit/set.go
@@ -10,9 +10,9 @@
 
 // The limits of a process whose settings name none are those of the smallest VMs.
 const (
-	// DefaultMemory is a size in bytes.
+	// DefaultMemory is the memory of the VM in bytes.
 	DefaultMemory = 136 << 20
-	// DefaultDescriptors is a number of descriptors.
+	// DefaultDescriptors is how many descriptors the process may open.
 	DefaultDescriptors = 2870
 )
 
--- a/pkg/connlimit/order.go
+++ b/pkg/connlimit/order.go
@@ -47,8 +47,8 @@
 	return o
 }
 
-// add adds a connection. At the maximum it also returns the one to close instead, and whether that one may stay until its client is refused; it
-// reports false if there is none.
+// add adds a connection. At the maximum it also returns the one to close instead, and whether that one may stay until its client is refused.
+// It does not admit the connection if there is none to close.
 func (o *order) add(c *conn, now time.Time) (dropped *conn, mayWait, admitted bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/pkg/connlimit/order_test.go
+++ b/pkg/connlimit/order_test.go
@@ -13,7 +13,7 @@
 	"github.com/azuretiller/azuretiller/pkg/bytebudget"
 )
 
-// clients is a limiter with a clock that tests advance, and whose connections get their bytes from the test.
+// clients is a limiter whose clock the test advances, and whose connections read what the test passes to them.
 type clients struct {
 	limiter *Limiter
 	now     time.Time
--- a/pkg/connlimit/plain_test.go
+++ b/pkg/connlimit/plain_test.go
@@ -9,7 +9,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-// TestKeptConnectionsDoNotCount guards against a fleet whose VMs take the connections of each other: there may be more VMs than unknown clients.
+// TestKeptConnectionsDoNotCount guards against VMs that cannot connect since other VMs of the fleet have reached the limit for unknown clients.
 func TestKeptConnectionsDoNotCount(t *testing.T) {
 	s := newClients(2)
 	inner, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
--- a/pkg/gateway/long_id_test.go
+++ b/pkg/gateway/long_id_test.go
@@ -15,8 +15,8 @@
 	"github.com/azuretiller/azuretiller/platform"
 )
 
-// TestLongIDStaysOutOfLogAndMessages guards against ids as long as a head, which callers choose: they filled the buffer of the log, the queue of
-// the leader and a datagram for each attempt. The server and the caller get the whole id.
+// TestLongIDStaysOutOfLogAndMessages guards against ids as long as a head, which callers choose: they would fill the buffer of the log, the queue
+// of the leader and a datagram for each attempt. The server and the caller get the whole id.
 func TestLongIDStaysOutOfLogAndMessages(t *testing.T) {
 	const bound = 256
 	id := strings.Repeat("i", 15<<10)
--- a/pkg/idempotency/store_test.go
+++ b/pkg/idempotency/store_test.go
@@ -24,7 +24,7 @@
 	return s.Len()
 }
 
-// TestStoreBoundsAllBytes guards against ids and response headers that fill the memory, since only response bodies were counted.
+// TestStoreBoundsAllBytes guards against ids and response headers that fill the memory.
 func TestStoreBoundsAllBytes(t *testing.T) {
 	const large = 15 << 10
 	assert.LessOrEqual(t, fill(0, 6000, strings.Repeat("i", large), nil)*large, 64<<20)
--- a/pkg/replay/body_test.go
+++ b/pkg/replay/body_test.go
@@ -105,7 +105,7 @@
 	assert.Equal(t, "x", string(got))
 }
 
-// readerFunc is a reader that consists of its function.
+// readerFunc is a function that implements io.Reader.
 type readerFunc func(p []byte) (int, error)
 
 // Read calls the function.
--- a/pkg/timeheap/doc.go
+++ b/pkg/timeheap/doc.go
@@ -1,2 +1,2 @@
-// Package timeheap keeps items in the order of a time that may change.
+// Package timeheap keeps items ordered by a time, which can be changed for each item.
 package timeheap
