Count descriptors once more while a crowd is still connected

Cause: the descriptors of a process are sampled each 20 ms. The tests of ordinary callers open their crowd and end within that time, so that the bound was compared with a sample from before it: 15 to 19 descriptors in several runs, with 175 connections open.

Change: process.check takes a sample itself. Bounds are unchanged; it makes the check of all tests in clientlimits stricter.

--- a/cmd/standin/pkg/clientlimits/process_test.go
+++ b/cmd/standin/pkg/clientlimits/process_test.go
@@ -180,16 +180,20 @@
 			return
 		case <-time.After(sampleInterval):
 		}
-		entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.command.Process.Pid))
-		if err != nil {
-			continue
-		}
-		p.mu.Lock()
-		p.peakFds = max(p.peakFds, len(entries))
-		if p.countUnread {
-			p.peakUnread = max(p.peakUnread, unreadBytes())
-		}
-		p.mu.Unlock()
+		p.sampleOnce()
+	}
+}
+
+func (p *process) sampleOnce() {
+	entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.command.Process.Pid))
+	if err != nil {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.peakFds = max(p.peakFds, len(entries))
+	if p.countUnread {
+		p.peakUnread = max(p.peakUnread, unreadBytes())
 	}
 }
 
@@ -261,6 +265,8 @@
 	default:
 	}
 	p.requireAnswer(t, "afterwards")
+	// A crowd may have come within sampleInterval.
+	p.sampleOnce()
 	p.mu.Lock()
 	peakFds, peakUnread := p.peakFds, p.peakUnread
 	p.mu.Unlock()
